--- /dev/null
+++ b/src/main/java/wrenreach/Choice.java
@@ -0,0 +1,834 @@
+package wrenreach;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32;
+import wrenreach.api.Answer;
+import wrenreach.api.Dispatcher;
+import wrenreach.api.Listing;
+import wrenreach.api.Outcome;
+import wrenreach.api.Settings;
+import wrenreach.state.Breaker;
+import wrenreach.state.Call;
+import wrenreach.state.Connect;
+import wrenreach.state.Destination;
+import wrenreach.state.Endpoint;
+import wrenreach.state.Mail;
+import wrenreach.state.Route;
+
+/**
+ * All decisions of one delivery node. The interface is wrenreach.api.Dispatcher: the host reports events
+ * one by one (admit, ended, withdrawn, listed), then asks next() once a turn; each call returns plain
+ * answers. State lives in wrenreach.state and is changed only from here. One instance a node, no clock of
+ * its own, no threads; chance comes from the seed in the settings.
+ */
+public final class Choice implements Dispatcher {
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final long SECOND = 1_000_000;
+
+    // Breaker: the design's defaults, and what it leaves open.
+    private static final int RUN = 8;
+    private static final int LEAST_RUN = 3;
+    private static final int TRIALS = 2;
+    private static final long REST = 5 * SECOND;
+    private static final double REST_SHARE = 0.3;
+    private static final long FORGET = 60 * SECOND;
+    private static final int RING = 8;
+    private static final double FAILS_MOSTLY = 0.75;
+    private static final double FAILS_OFTEN = 0.4;
+    private static final int SUSPECT_RUN = 2;
+    private static final int SHUT_RUN = 4;
+    // Ratios to the target delay.
+    private static final double RING_SPAN = 2;
+    private static final double CUT = 0.6;
+    private static final double FIRST_USUAL = 0.1;
+    private static final double BURST = 0.15;
+    private static final double REGAIN = 4;
+    private static final double HEARTBEAT = 0.04;
+    // Ratios to a route's usual time.
+    private static final double CUT_USUAL = 8;
+    private static final double OVERDUE = 6;
+    private static final double PLACES = 3;
+    private static final double LEARN = 0.1;
+    // Pace.
+    private static final double BACK_OFF = 0.7;
+    private static final double LEAST_SHARE = 0.5;
+    private static final double COLD_MARGIN = 0.85;
+
+    private final int nodes;
+    private final int me;
+    private final int zone;
+    private final long seed;
+    private final long tick;
+    private final int slots;
+    private final int lane;
+    private final int heldLimit;
+    private final int tries;
+    private final boolean copies;
+    private final long retryAfterLimit;
+    private final long idleFor;
+    private final boolean listOnRequest;
+    private final long askEvery;
+    private final double overShareImportance;
+    private final int leftAt;
+    private final int rateAt;
+    private final List<Settings.QueueClass> classes;
+    private final List<Settings.Kind> kinds;
+    private final double[] quota;
+    private final double[] quotaTokens;
+    private final long[] quotaAt;
+    private final double coldFrom;
+    private final long coldFor;
+    private final double overload;
+    private final long orderSettle;
+    private final long target;
+
+    private final List<Destination> destinations = new ArrayList<>();
+    private List<Answer> answers = new ArrayList<>();
+    private int held;
+    private int slotsOut;
+    private int firstServed;
+    private long chances;
+    private long sequence;
+    private long soonest;
+    private long wakeAt = Long.MIN_VALUE;
+    private boolean following;
+    private long askAt = Long.MIN_VALUE;
+
+    public Choice(Settings s) {
+        nodes = s.nodes();
+        me = s.me();
+        zone = s.zone();
+        seed = s.seed();
+        tick = s.tick();
+        slots = Math.max(1, s.outLimit());
+        lane = Math.max(1, slots / 3);
+        heldLimit = s.heldLimit();
+        tries = s.connectLimit();
+        copies = s.copiesAllowed();
+        retryAfterLimit = s.retryAfterTold() ? s.retryAfterLimit() : 0;
+        idleFor = s.connectionIdle();
+        listOnRequest = s.listOnRequest();
+        askEvery = s.listAskWithin() / 8;
+        overShareImportance = s.overShareImportance();
+        leftAt = s.allowanceLeftAt();
+        rateAt = s.allowanceRateAt();
+        classes = s.classes();
+        kinds = s.kinds();
+        quota = s.tenants().stream().mapToDouble(t -> t.quotaPerSecond() / s.nodes()).toArray();
+        quotaTokens = quota.clone();
+        quotaAt = new long[quota.length];
+        coldFrom = s.rules().coldFrom();
+        coldFor = s.rules().cold();
+        overload = s.rules().overloadFactor();
+        orderSettle = s.rules().orderSettle();
+        target = classes.stream().mapToLong(Settings.QueueClass::targetDelay).min().orElse(SECOND);
+    }
+
+    // ---- Events ----
+
+    @Override public List<Answer> admit(Mail mail, long now) {
+        Settings.QueueClass kind = classOf(mail);
+        held++;
+        mail.sequence = sequence++;
+        mail.dueBy = mail.endsBy - kind.lifetime() + kind.targetDelay();
+        mail.overShare = overShare(mail, now);
+        know(mail.to);
+        if (mail.key != null && kind.inOrder()) {
+            mail.key.mails.addLast(mail);
+        }
+        mail.to.line.add(mail);
+        long wait = expectedWait(mail.to, mail.to.line.size() - 1, now);
+        if (now + wait + usualOf(mail.to) > mail.endsBy) {
+            end(mail, wait, now);
+        } else if (held > heldLimit - Math.max(1, heldLimit / 16)) {
+            makeRoom(now);
+        }
+        return take();
+    }
+
+    @Override public List<Answer> ended(Connect c, Outcome outcome, double[] report, boolean done, long now) {
+        if (!c.open) {
+            return take();
+        }
+        Mail mail = c.mail;
+        close(c, outcome, now);
+        hear(c.endpoint.route, report, now);
+        learn(c, outcome, now);
+        if (mail.key != null && (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.Broken
+                || outcome instanceof Outcome.CalledOff)) {
+            mail.key.restsUntil = Math.max(mail.key.restsUntil, now + orderSettle);
+        }
+        if (done || outcome instanceof Outcome.Relayed) {
+            finish(mail);
+        } else if (!mail.over && mail.out == 0) {
+            again(mail, outcome, now);
+        }
+        leaveKey(mail);
+        return take();
+    }
+
+    @Override public List<Answer> withdrawn(Mail mail, long now) {
+        finish(mail);
+        leaveKey(mail);
+        return take();
+    }
+
+    @Override public List<Answer> listed(Listing listing, long now) {
+        if (listing.scope() == Listing.Scope.FAILED) {
+            following = false;
+            askAt = now + askEvery + (long) (askEvery * chance(askEvery));
+            return take();
+        }
+        if (listing.scope() != Listing.Scope.CHANGES) {
+            for (Destination d : destinations) {
+                d.endpoints.forEach(e -> e.ready = false);
+            }
+        }
+        for (Listing.Entry entry : listing.entries()) {
+            Endpoint e = entry.endpoint();
+            know(e.to);
+            if (e.route == null) {
+                join(e);
+            }
+            e.ready = entry.state() == Listing.State.READY;
+            if (entry.weight() > 0 && e.ready) {
+                e.route.weight = entry.weight();
+            }
+        }
+        return take();
+    }
+
+    @Override public List<Answer> next(long now) {
+        soonest = now + (long) (HEARTBEAT * target);
+        if (listOnRequest && !following && now >= askAt) {
+            following = true;
+            answers.add(new Answer.FollowList());
+        }
+        expire(now);
+        for (int pass = 0; pass < 2; pass++) {
+            for (int i = 0; i < destinations.size(); i++) {
+                serve(destinations.get((firstServed + i) % destinations.size()), pass == 0, now);
+            }
+        }
+        firstServed++;
+        wake(now);
+        return take();
+    }
+
+    private void wake(long now) {
+        boolean idle = held == 0 && !(listOnRequest && !following);
+        long at = Math.max(soonest, now + tick);
+        if (!idle && !(wakeAt > now && wakeAt <= at)) {
+            wakeAt = at;
+            answers.add(new Answer.Wake(at - now));
+        }
+    }
+
+    private List<Answer> take() {
+        List<Answer> taken = answers;
+        answers = new ArrayList<>();
+        return taken;
+    }
+
+    // ---- Admission ----
+
+    private boolean overShare(Mail mail, long now) {
+        int t = mail.tenant;
+        if (t < 0 || t >= quota.length || quota[t] <= 0) {
+            return false;
+        }
+        double most = Math.max(1, quota[t] * target / SECOND);
+        quotaTokens[t] = Math.min(most, quotaTokens[t] + quota[t] * (now - quotaAt[t]) / SECOND);
+        quotaAt[t] = now;
+        if (quotaTokens[t] < 1) {
+            return true;
+        }
+        quotaTokens[t]--;
+        return false;
+    }
+
+    /** How long a mail waits that has so many before it. */
+    private long expectedWait(Destination d, int ahead, long now) {
+        long start = NEVER;
+        double pace = 0;
+        for (Route r : d.routes) {
+            long opens = r.breaker.phase == Breaker.Phase.OPEN ? r.breaker.restsUntil : now;
+            start = Math.min(start, Math.max(0, Math.max(opens, r.heldUntil) - now));
+            pace += limit(r) * share(r, now) * batch(r);
+        }
+        if (pace <= 0) {
+            return 0;
+        }
+        return start + (long) (ahead / pace * SECOND);
+    }
+
+    /** When held mails run out: the mail that waits longest goes back, those over share first. */
+    private void makeRoom(long now) {
+        Mail worst = null;
+        double most = 0;
+        for (Destination d : destinations) {
+            long wait = d.line.isEmpty() ? 0 : expectedWait(d, d.line.size(), now);
+            for (Mail m : d.line) {
+                double weight = wait * (m.overShare ? 1 / overShareImportance : 1);
+                if (weight >= most && weight > target && m.connects.isEmpty()) {
+                    most = weight;
+                    worst = m;
+                }
+            }
+        }
+        if (worst != null) {
+            end(worst, (long) most, now);
+        }
+    }
+
+    // ---- Line ----
+
+    private void serve(Destination d, boolean fullOnly, long now) {
+        while (!d.line.isEmpty()) {
+            Mail best = null;
+            Endpoint at = null;
+            double most = 0;
+            for (Mail m : d.line) {
+                boolean full = full(m, now);
+                if (fullOnly && !full || !hasTurn(m, now)) {
+                    continue;
+                }
+                double worth = importance(m) * (full ? 1 : 0.5);
+                if (worth > most) {
+                    Endpoint e = pick(d, m, now);
+                    if (e != null) {
+                        best = m;
+                        at = e;
+                        most = worth;
+                    }
+                }
+            }
+            if (best == null) {
+                return;
+            }
+            send(best, at, now);
+        }
+    }
+
+    private boolean full(Mail m, long now) {
+        return !m.overShare && now + usualOf(m.to) <= m.dueBy;
+    }
+
+    private double importance(Mail m) {
+        return classOf(m).importance() * (m.overShare ? overShareImportance : 1);
+    }
+
+    private boolean hasTurn(Mail m, long now) {
+        if (m.notBefore > now) {
+            later(m.notBefore, now);
+            return false;
+        }
+        if (m.key == null || !classOf(m).inOrder()) {
+            return true;
+        }
+        if (m.key.mails.peekFirst() != m) {
+            return false;
+        }
+        if (m.connects.isEmpty() && m.key.restsUntil > now) {
+            later(m.key.restsUntil, now);
+            return false;
+        }
+        return true;
+    }
+
+    private Endpoint pick(Destination d, Mail m, long now) {
+        Endpoint best = null;
+        double least = Double.MAX_VALUE;
+        for (Endpoint e : d.endpoints) {
+            if (!maySend(m, e, now) || !joins(e, now) && !admits(e, now)) {
+                continue;
+            }
+            double cost = e.out + (idle(e, now) ? 0 : 2) + (e.zone == zone ? 0 : 1) + (shunned(e, now) ? 100 : 0)
+                    + (lastAt(m) == e ? 5 : 0) + (joins(e, now) ? -50 : 0);
+            if (cost < least) {
+                least = cost;
+                best = e;
+            }
+        }
+        return best;
+    }
+
+    /** Whether the mail may travel with the call that this turn already makes to the endpoint. */
+    private boolean joins(Endpoint e, long now) {
+        return e.joining != null && e.joining.sentAt == now && e.joining.size < batch(e.route)
+                && e.route.breaker.phase == Breaker.Phase.CLOSED;
+    }
+
+    /** Whether the endpoint may be given a call now: breaker, wait, pace, places, slots, lane. */
+    private boolean admits(Endpoint e, long now) {
+        Route r = e.route;
+        if (slotsOut >= slots || e.to.out >= Math.max(1, slots / 2) || e.out >= places(e, now)) {
+            return false;
+        }
+        if (!breakerLets(r, now)) {
+            return false;
+        }
+        if (sick(r, now) && (r.calls.size() >= 1 || laneOut(now) >= lane)) {
+            return false;
+        }
+        return hasToken(r, now);
+    }
+
+    private boolean shunned(Endpoint e, long now) {
+        return e.failedRun >= SUSPECT_RUN && now < e.failedAt + REST;
+    }
+
+    private static Endpoint lastAt(Mail m) {
+        return m.connects.isEmpty() ? null : m.connects.get(m.connects.size() - 1).endpoint;
+    }
+
+    private int places(Endpoint e, long now) {
+        int most = (int) Math.ceil(PLACES * limit(e.route) * e.route.usual / SECOND / Math.max(1, e.route.endpoints));
+        if (now - e.capAt > coldFor) {
+            e.cap = Integer.MAX_VALUE;
+        }
+        return Math.min(e.cap, Math.max(2, most));
+    }
+
+    private boolean idle(Endpoint e, long now) {
+        while (!e.idle.isEmpty() && e.idle.peekFirst() + idleFor <= now) {
+            e.idle.pollFirst();
+        }
+        return !e.idle.isEmpty();
+    }
+
+    // ---- The door of every send ----
+
+    private boolean maySend(Mail m, Endpoint e, long now) {
+        Route r = e.route;
+        if (m.over || !e.ready || r.heldUntil > now || m.connects.size() >= tries) {
+            later(r.heldUntil, now);
+            return false;
+        }
+        if (m.out > 0 && !copies || now + (m.connects.isEmpty() ? 0 : (long) r.usual) + 4 * tick > m.endsBy) {
+            return false;
+        }
+        return mayRepeat(m, e, now);
+    }
+
+    /** Whether what the mail's earlier connects may have done allows one to this endpoint. */
+    private boolean mayRepeat(Mail m, Endpoint e, long now) {
+        Settings.QueueClass kind = classOf(m);
+        if (kind.effect() == Settings.Effect.REDELIVERABLE) {
+            return true;
+        }
+        for (Connect c : m.connects) {
+            if (c.neverRan) {
+                continue;
+            }
+            if (kind.effect() == Settings.Effect.ONCE_ONLY || now + 2 * tick > c.sentAt + kind.repeatWindow()
+                    || !sameGroup(kind, c.endpoint, e)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean sameGroup(Settings.QueueClass kind, Endpoint a, Endpoint b) {
+        return switch (kind.repeatGroup()) {
+            case ALL -> true;
+            case ZONE -> a.zone == b.zone;
+            case ENDPOINT -> a == b;
+        };
+    }
+
+    private void send(Mail m, Endpoint e, long now) {
+        Route r = e.route;
+        Call call = e.joining;
+        if (!joins(e, now)) {
+            call = new Call(now);
+            e.joining = call;
+            r.calls.add(call);
+            e.out++;
+            e.to.out++;
+            slotsOut++;
+            r.tokens--;
+            r.sent.add(now);
+            e.idle.pollLast();
+        }
+        call.size++;
+        call.open++;
+        Connect c = new Connect(m, e, now, Math.min(now + cutOff(r), m.endsBy - 2 * tick), call);
+        m.connects.add(c);
+        m.out++;
+        m.to.line.remove(m);
+        r.usedAt = now;
+        if (r.breaker.phase != Breaker.Phase.CLOSED) {
+            r.breaker.phase = Breaker.Phase.HALF_OPEN;
+            r.breaker.trial = c;
+            c.trial = true;
+        }
+        answers.add(new Answer.Send(c));
+    }
+
+    private void close(Connect c, Outcome outcome, long now) {
+        c.open = false;
+        c.neverRan = outcome.neverRan();
+        c.mail.out--;
+        if (--c.call.open == 0) {
+            c.endpoint.out--;
+            c.endpoint.to.out--;
+            slotsOut--;
+            c.endpoint.route.calls.remove(c.call);
+            if (outcome instanceof Outcome.Relayed || outcome instanceof Outcome.Erred
+                    || outcome instanceof Outcome.Full) {
+                c.endpoint.idle.addLast(now);
+            }
+        }
+    }
+
+    // ---- Cut-off ----
+
+    private long cutOff(Route r) {
+        return (long) Math.max(CUT * target, CUT_USUAL * r.usual);
+    }
+
+    // ---- Pace ----
+
+    private double limit(Route r) {
+        if (r.limitSeen) {
+            return r.limit;
+        }
+        return r.weight > 0 ? r.weight : SECOND * slots * nodes / r.usual / Math.max(1, destinations.size());
+    }
+
+    private double share(Route r, long now) {
+        return Math.min(1, r.share + (now - r.shareAt) / (REGAIN * target));
+    }
+
+    private double pace(Route r, long now) {
+        double pace = limit(r) * share(r, now);
+        if (r.cold && r.warmsFrom != NEVER && now >= r.warmsFrom + coldFor) {
+            r.cold = false;
+        }
+        if (r.cold) {
+            double warm = r.warmsFrom == NEVER ? 0 : (double) (now - r.warmsFrom) / coldFor;
+            double can = limit(r) * (coldFrom + (1 - coldFrom) * warm);
+            pace = Math.min(pace, COLD_MARGIN * overload * can / nodes);
+        }
+        return pace;
+    }
+
+    private boolean hasToken(Route r, long now) {
+        double pace = pace(r, now);
+        double most = r.cold ? 1 : Math.max(1, pace * BURST * target / SECOND);
+        r.tokens = Math.min(most, r.tokens + pace * (now - r.tokensAt) / SECOND);
+        r.tokensAt = now;
+        if (r.tokens >= 1 - 1e-9) {
+            return true;
+        }
+        later(now + (long) Math.ceil((1 - r.tokens) / pace * SECOND), now);
+        return false;
+    }
+
+    private void hear(Route r, double[] report, long now) {
+        if (rateAt >= 0 && rateAt < report.length && report[rateAt] > 0) {
+            r.limit = r.limitSeen ? r.limit + 0.2 * (report[rateAt] - r.limit) : report[rateAt];
+            r.limitSeen = true;
+        }
+        if (leftAt >= 0 && leftAt < report.length) {
+            r.left = report[leftAt];
+            r.leftAt = now;
+        }
+    }
+
+    // ---- What an outcome teaches ----
+
+    private void learn(Connect c, Outcome outcome, long now) {
+        Route r = c.endpoint.route;
+        if (r.breaker.trial == c) {
+            r.breaker.trial = null;
+            r.usedAt = now;
+        } else if (c.call.counted) {
+            return;
+        }
+        c.call.counted = true;
+        if (outcome instanceof Outcome.Relayed) {
+            relayed(r, c, now);
+        } else if (outcome instanceof Outcome.Full full) {
+            deferred(r, full.pause(), now);
+        } else if (outcome instanceof Outcome.Unreached && atCap(c.endpoint, now)) {
+            c.endpoint.cap = Math.max(1, c.endpoint.out);
+            c.endpoint.capAt = now;
+        } else if (!(outcome instanceof Outcome.CalledOff) && !(outcome instanceof Outcome.NotSent)) {
+            failed(r, c, outcome, now);
+        }
+    }
+
+    private boolean atCap(Endpoint e, long now) {
+        return e.out > 0 && e.failedRun == 0 && now - e.relayedAt < target / 2;
+    }
+
+    private void relayed(Route r, Connect c, long now) {
+        r.relayed.add(now);
+        r.relayedAt = now;
+        r.deferredRun = 0;
+        r.usual += LEARN * (now - c.sentAt - r.usual);
+        c.endpoint.failedRun = 0;
+        c.endpoint.relayedAt = now;
+        if (r.cold && r.warmsFrom == NEVER) {
+            r.warmsFrom = now;
+        }
+        Breaker b = r.breaker;
+        if (b.phase == Breaker.Phase.CLOSED) {
+            b.failedRun = 0;
+        } else if (b.phase == Breaker.Phase.HALF_OPEN && c.trial && ++b.trialRun >= TRIALS) {
+            b.phase = Breaker.Phase.CLOSED;
+            b.failedRun = 0;
+            b.closedAt = now;
+            note(r, "closed after " + TRIALS + " trials relayed");
+        }
+    }
+
+    private void deferred(Route r, long wait, long now) {
+        r.deferred.add(now);
+        r.deferredRun++;
+        if (now - r.shareAt > r.usual) {
+            r.share = Math.max(LEAST_SHARE / nodes, share(r, now) * BACK_OFF);
+            r.shareAt = now;
+        }
+        double gap = SECOND / Math.max(1e-3, pace(r, now)) * Math.scalb(1.0, Math.min(r.deferredRun, 4) - 1);
+        long pause = wait > 0 ? wait + tick : (long) Math.min(target, gap);
+        r.heldUntil = Math.max(r.heldUntil, now + pause);
+        if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > target / 2) {
+            r.cold = true;
+            r.warmsFrom = NEVER;
+        }
+    }
+
+    private void failed(Route r, Connect c, Outcome outcome, long now) {
+        r.failed.add(now);
+        c.endpoint.failedRun++;
+        c.endpoint.failedAt = now;
+        Breaker b = r.breaker;
+        if (b.phase == Breaker.Phase.HALF_OPEN && c.trial) {
+            open(r, outcome, now);
+        } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
+            b.failedRun++;
+            if (b.failedRun >= SUSPECT_RUN || failsOften(r, FAILS_OFTEN, now)) {
+                r.cold = true;
+                r.warmsFrom = NEVER;
+            }
+            if (b.failedRun >= threshold(r, now) || failsOften(r, FAILS_MOSTLY, now)) {
+                open(r, outcome, now);
+            }
+        }
+    }
+
+    // ---- Breaker ----
+
+    private int threshold(Route r, long now) {
+        return Math.max(LEAST_RUN, Math.min(RUN, r.sent.sum(now) / 2));
+    }
+
+    private boolean failsOften(Route r, double share, long now) {
+        int failed = r.failed.sum(now);
+        return failed >= LEAST_RUN && failed >= share * (failed + r.relayed.sum(now));
+    }
+
+    private void open(Route r, Outcome outcome, long now) {
+        Breaker b = r.breaker;
+        String before = b.phase == Breaker.Phase.CLOSED ? "opened" : "reopened";
+        b.phase = Breaker.Phase.OPEN;
+        b.openedAt = now;
+        b.restsUntil = now + REST + (long) (REST * REST_SHARE * chance(b.openedAt));
+        b.trialRun = 0;
+        b.failedRun = 0;
+        r.cold = true;
+        r.warmsFrom = NEVER;
+        note(r, before + " by " + outcome.getClass().getSimpleName());
+    }
+
+    private boolean breakerLets(Route r, long now) {
+        Breaker b = r.breaker;
+        if (b.phase != Breaker.Phase.CLOSED && now - r.usedAt > FORGET) {
+            b.phase = Breaker.Phase.CLOSED;
+            b.failedRun = 0;
+            b.closedAt = now;
+        }
+        if (b.phase == Breaker.Phase.OPEN && now < b.restsUntil) {
+            later(b.restsUntil, now);
+            return false;
+        }
+        return b.phase == Breaker.Phase.CLOSED || b.trial == null;
+    }
+
+    // ---- Lane ----
+
+    private boolean sick(Route r, long now) {
+        if (r.cold && r.warmsFrom == NEVER || r.breaker.phase != Breaker.Phase.CLOSED) {
+            return true;
+        }
+        for (Call call : r.calls) {
+            if (now - call.sentAt > OVERDUE * r.usual && r.relayedAt < call.sentAt) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private int laneOut(long now) {
+        int out = 0;
+        for (Destination d : destinations) {
+            for (Route r : d.routes) {
+                out += sick(r, now) ? r.calls.size() : 0;
+            }
+        }
+        return out;
+    }
+
+    // ---- Further connects and endings ----
+
+    private void again(Mail m, Outcome outcome, long now) {
+        if (m.connects.size() >= tries || now + usualOf(m.to) > m.endsBy || !repeatable(m, now)) {
+            end(m, 0, now);
+            return;
+        }
+        if (!outcome.neverRan()) {
+            m.notBefore = now + (long) (usualOf(m.to) * chance(m.id));
+        }
+        int at = m.to.line.size();
+        while (at > 0 && m.to.line.get(at - 1).sequence > m.sequence) {
+            at--;
+        }
+        m.to.line.add(at, m);
+    }
+
+    /** Whether some endpoint may still be sent the mail in the time that its repeats are noticed. */
+    private boolean repeatable(Mail m, long now) {
+        for (Endpoint e : m.to.endpoints) {
+            long opens = e.route.breaker.phase == Breaker.Phase.OPEN ? e.route.breaker.restsUntil : now;
+            if (e.ready && mayRepeat(m, e, Math.max(now, Math.max(opens, e.route.heldUntil)))) {
+                return true;
+            }
+        }
+        return m.to.endpoints.isEmpty();
+    }
+
+    private void expire(long now) {
+        for (Destination d : destinations) {
+            for (int i = d.line.size() - 1; i >= 0; i--) {
+                Mail m = d.line.get(i);
+                if (now + 3 * tick >= m.endsBy || ranMaybe(m) && !repeatable(m, now)) {
+                    end(m, expectedWait(d, 0, now), now);
+                } else {
+                    later(m.endsBy - 3 * tick, now);
+                }
+            }
+        }
+    }
+
+    private static boolean ranMaybe(Mail m) {
+        for (Connect c : m.connects) {
+            if (!c.neverRan) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The door of every ending. */
+    private void end(Mail m, long wait, long now) {
+        if (m.over) {
+            return;
+        }
+        answers.add(mayDefer(m, now) ? new Answer.Defer(m, Math.min(wait, retryAfterLimit)) : new Answer.Bounce(m));
+        finish(m);
+        leaveKey(m);
+    }
+
+    private boolean mayDefer(Mail m, long now) {
+        Settings.QueueClass kind = classOf(m);
+        if (kind.effect() == Settings.Effect.REDELIVERABLE || !ranMaybe(m)) {
+            return true;
+        }
+        if (kind.effect() == Settings.Effect.ONCE_ONLY || kind.repeatGroup() != Settings.RepeatGroup.ALL) {
+            return false;
+        }
+        for (Connect c : m.connects) {
+            if (!c.neverRan && now > c.sentAt + kind.repeatWindow()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void finish(Mail m) {
+        if (!m.over) {
+            m.over = true;
+            held--;
+            m.to.line.remove(m);
+        }
+    }
+
+    private void leaveKey(Mail m) {
+        if (m.key != null && m.over && m.out == 0) {
+            m.key.mails.remove(m);
+        }
+    }
+
+    // ---- List ----
+
+    private void know(Destination d) {
+        if (!destinations.contains(d)) {
+            destinations.add(d);
+        }
+    }
+
+    private void join(Endpoint e) {
+        boolean apart = e.kind < kinds.size() && kinds.get(e.kind).routesApart();
+        if (apart || e.to.routes.isEmpty()) {
+            String name = "destination " + e.to.number + (apart ? " route " + e.to.routes.size() : "");
+            Route r = new Route(name, e.kind, RING, (long) (RING_SPAN * target / RING));
+            r.usual = FIRST_USUAL * target;
+            r.share = 1;
+            r.tokens = 1;
+            e.to.routes.add(r);
+        }
+        e.route = e.to.routes.get(e.to.routes.size() - 1);
+        e.route.endpoints++;
+        e.to.endpoints.add(e);
+    }
+
+    // ---- Small helps ----
+
+    private Settings.QueueClass classOf(Mail m) {
+        return classes.get(m.queueClass);
+    }
+
+    private int batch(Route r) {
+        return r.kind < kinds.size() ? Math.max(1, kinds.get(r.kind).batch()) : 1;
+    }
+
+    private long usualOf(Destination d) {
+        double least = FIRST_USUAL * target;
+        for (int i = 0; i < d.routes.size(); i++) {
+            least = i == 0 ? d.routes.get(i).usual : Math.min(least, d.routes.get(i).usual);
+        }
+        return (long) least;
+    }
+
+    private void later(long at, long now) {
+        if (at > now) {
+            soonest = Math.min(soonest, at);
+        }
+    }
+
+    private double chance(long id) {
+        CRC32 crc = new CRC32();
+        ByteBuffer bytes = ByteBuffer.allocate(28);
+        crc.update(bytes.putLong(seed).putInt(me).putLong(id).putLong(chances++).array());
+        return crc.getValue() / (double) (1L << 32);
+    }
+
+    private void note(Route r, String text) {
+        answers.add(new Answer.Note(r.name + ": breaker " + text));
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/api/Outcome.java
@@ -0,0 +1,45 @@
+package wrenreach.api;
+
+/** How a connect ended. */
+public sealed interface Outcome {
+    /** Whether this proves that the mail took no effect. */
+    default boolean neverRan() {
+        return false;
+    }
+
+    /** The mail was delivered. */
+    record Relayed() implements Outcome { }
+
+    /** The destination answered with an error. */
+    record Erred() implements Outcome { }
+
+    /** Turned away unseen; pause is 0 where no wait was told. */
+    record Full(long pause) implements Outcome {
+        @Override public boolean neverRan() {
+            return true;
+        }
+    }
+
+    /** No answer by the cut-off. */
+    record TimedOut() implements Outcome { }
+
+    /** No connection could be had. */
+    record Unreached() implements Outcome {
+        @Override public boolean neverRan() {
+            return true;
+        }
+    }
+
+    /** The connection broke under way. */
+    record Broken() implements Outcome { }
+
+    /** Revoked by the node. */
+    record CalledOff() implements Outcome { }
+
+    /** It never left the node. */
+    record NotSent(boolean noSlot) implements Outcome {
+        @Override public boolean neverRan() {
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/state/Connect.java
@@ -0,0 +1,23 @@
+package wrenreach.state;
+
+/** One try at delivering a mail. */
+public final class Connect {
+    public final Mail mail;
+    public final Endpoint endpoint;
+    public final int number;
+    public final long sentAt;
+    public final long cutAt;
+    public final Call call;
+    public boolean trial;
+    public boolean open = true;
+    public boolean neverRan;
+
+    public Connect(Mail mail, Endpoint endpoint, long sentAt, long cutAt, Call call) {
+        this.mail = mail;
+        this.endpoint = endpoint;
+        this.number = mail.connects.size();
+        this.sentAt = sentAt;
+        this.cutAt = cutAt;
+        this.call = call;
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/state/Endpoint.java
@@ -0,0 +1,30 @@
+package wrenreach.state;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** One address of a destination. */
+public final class Endpoint {
+    public final long address;
+    public final Destination to;
+    public final int kind;
+    public final int zone;
+    public Route route;
+    public boolean ready;
+    public int out;
+    public Call joining;
+    public int failedRun;
+    public long failedAt;
+    public long relayedAt;
+    public int cap = Integer.MAX_VALUE;
+    public long capAt;
+    /** When each idle connection was last used, latest last. */
+    public final Deque<Long> idle = new ArrayDeque<>(4);
+
+    public Endpoint(long address, Destination to, int kind, int zone) {
+        this.address = address;
+        this.to = to;
+        this.kind = kind;
+        this.zone = zone;
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/state/Route.java
@@ -0,0 +1,42 @@
+package wrenreach.state;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What shares one limit, pace and health: a destination, or one endpoint where routes are apart. */
+public final class Route {
+    public final String name;
+    public final int kind;
+    public final Breaker breaker = new Breaker();
+    public final List<Call> calls = new ArrayList<>();
+    public final BucketRing relayed;
+    public final BucketRing failed;
+    public final BucketRing deferred;
+    public final BucketRing sent;
+    public double weight;
+    public double limit;
+    public boolean limitSeen;
+    public double left = 1;
+    public long leftAt;
+    public double share;
+    public long shareAt;
+    public double tokens;
+    public long tokensAt;
+    public long heldUntil;
+    public int deferredRun;
+    public double usual;
+    public long usedAt;
+    public long relayedAt;
+    public boolean cold;
+    public long warmsFrom;
+    public int endpoints;
+
+    public Route(String name, int kind, int buckets, long width) {
+        this.name = name;
+        this.kind = kind;
+        relayed = new BucketRing(buckets, width);
+        failed = new BucketRing(buckets, width);
+        deferred = new BucketRing(buckets, width);
+        sent = new BucketRing(buckets, width);
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/wire/ReplyWriter.java
@@ -0,0 +1,100 @@
+package wrenreach.wire;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+
+/** Collects the actions of a reply and writes it as a frame. */
+public final class ReplyWriter {
+    private static final int MOST_TEXT = 0xffff;
+    private static final double MICROS = 1e6;
+
+    private ByteBuffer body = ByteBuffer.allocate(1 << 16).order(ByteOrder.LITTLE_ENDIAN);
+    private int records;
+
+    public void callOut(int node, long call, long endpoint, long cutAt) {
+        start(74, node).putLong(call);
+        endpoint(endpoint).putDouble(cutAt / MICROS);
+    }
+
+    public void revoke(int node, long call, int number) {
+        start(68, node).putLong(call).putShort((short) number);
+    }
+
+    public void reject(int node, long call, long holdOff) {
+        start(67, node).putLong(call).putDouble(holdOff / MICROS);
+    }
+
+    public void fail(int node, long call) {
+        start(75, node).putLong(call);
+    }
+
+    public void notifyMe(int node, int label, long offset) {
+        start(73, node).putInt(label).putDouble(offset / MICROS);
+    }
+
+    public void release(int node, long endpoint) {
+        start(65, node);
+        endpoint(endpoint);
+    }
+
+    public void track(int node) {
+        start(71, node).put((byte) 1);
+    }
+
+    public void listAll(int node) {
+        start(70, node);
+    }
+
+    public void journalLine(int node, String text) {
+        text(66, node, text);
+    }
+
+    public void fault(int node, String text) {
+        text(69, node, text);
+    }
+
+    /** Writes the frame and starts the next one. */
+    public void writeTo(OutputStream out) throws IOException {
+        ByteBuffer head = ByteBuffer.allocate(8).order(ByteOrder.LITTLE_ENDIAN);
+        head.putInt(body.position() + 4).putInt(records);
+        out.write(head.array());
+        out.write(body.array(), 0, body.position());
+        out.flush();
+        body.clear();
+        records = 0;
+    }
+
+    private void text(int code, int node, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        int length = Math.min(bytes.length, MOST_TEXT);
+        while (length < bytes.length && (bytes[length] & 0xc0) == 0x80) {
+            length--;
+        }
+        start(code, node);
+        room(length + 2);
+        body.putShort((short) length).put(bytes, 0, length);
+    }
+
+    private ByteBuffer start(int code, int node) {
+        room(64);
+        records++;
+        return body.put((byte) code).putShort((short) node);
+    }
+
+    private ByteBuffer endpoint(long endpoint) {
+        for (int shift = 40; shift >= 16; shift -= 8) {
+            body.put((byte) (endpoint >> shift));
+        }
+        return body.putShort((short) endpoint);
+    }
+
+    private void room(int bytes) {
+        if (body.remaining() < bytes) {
+            body = ByteBuffer.allocate(Math.max(body.capacity() * 2, body.position() + bytes))
+                    .order(ByteOrder.LITTLE_ENDIAN).put(body.flip());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/wirehost/WireHost.java
@@ -0,0 +1,135 @@
+package wrenreach.wirehost;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import wrenreach.api.Dispatcher;
+import wrenreach.api.Settings;
+import wrenreach.wire.Event;
+import wrenreach.wire.FrameReader;
+import wrenreach.wire.ReplyWriter;
+import wrenreach.wire.SettingsText;
+import wrenreach.wire.WireException;
+
+/** Hosts many delivery nodes on the wire. */
+public final class WireHost {
+    private final FrameReader in;
+    private final OutputStream out;
+    private final PrintStream err;
+    private final Function<Settings, Dispatcher> module;
+    private final Map<Integer, List<Event.Host>> rosters = new HashMap<>();
+    private final Map<Integer, Node> nodes = new HashMap<>();
+    private final ReplyWriter reply = new ReplyWriter();
+    private final Set<Node> touched = new LinkedHashSet<>();
+    private int lives;
+
+    public WireHost(InputStream in, OutputStream out, PrintStream err, Function<Settings, Dispatcher> module) {
+        this.in = new FrameReader(new BufferedInputStream(in, 1 << 16));
+        this.out = new BufferedOutputStream(out, 1 << 16);
+        this.err = err;
+        this.module = module;
+    }
+
+    /** Serves until the end of input; the result is the exit code. */
+    public int run() {
+        try {
+            for (Event.Batch batch = in.read(); batch != null; batch = in.read()) {
+                handle(batch);
+                reply.writeTo(out);
+            }
+            return 0;
+        } catch (WireException e) {
+            err.println("wirehost: " + e.getMessage());
+        } catch (IOException e) {
+            err.println("wirehost: input or output failed: " + e.getMessage());
+        }
+        return 1;
+    }
+
+    private void handle(Event.Batch batch) throws WireException {
+        touched.clear();
+        for (int i = 0; i < batch.events().size(); i++) {
+            Event event = batch.events().get(i);
+            if (event instanceof Event.Enlist enlist) {
+                enlist(enlist);
+            } else if (event instanceof Event.Manifest manifest) {
+                rosters.put(manifest.roster(), manifest.hosts());
+            } else if (event instanceof Event.Stop stop) {
+                touched.remove(nodes.remove(stop.node()));
+            } else if (event instanceof Event.View view) {
+                List<Event.Host> hosts = view.scope() == 3 ? List.of() : rosters.get(view.roster());
+                if (hosts == null) {
+                    throw new WireException("record " + i + " (view): RosterId names list " + view.roster()
+                            + ", expected the number of a manifest sent before");
+                }
+                tell(view.node(), node -> node.view(view, hosts, batch.clock()));
+            } else {
+                dispatch(event, batch.clock());
+            }
+        }
+        for (Node node : new ArrayList<>(touched)) {
+            guard(node, n -> n.next(batch.clock()));
+            if (touched.contains(node)) {
+                node.write(reply);
+            }
+        }
+    }
+
+    private void dispatch(Event event, long now) {
+        if (event instanceof Event.Req req) {
+            tell(req.node(), node -> node.req(req, now));
+        } else if (event instanceof Event.Response response) {
+            tell(response.node(), node -> node.response(response, now));
+        } else if (event instanceof Event.Cancelled cancelled) {
+            tell(cancelled.node(), node -> node.cancelled(cancelled, now));
+        } else if (event instanceof Event.Ring ring) {
+            tell(ring.node(), node -> { });
+        }
+    }
+
+    private void enlist(Event.Enlist enlist) {
+        touched.remove(nodes.remove(enlist.node()));
+        try {
+            Settings settings = SettingsText.read(enlist.conf(), enlist.seed());
+            Node node = new Node(enlist.node(), ++lives, module.apply(settings));
+            nodes.put(enlist.node(), node);
+            touched.add(node);
+        } catch (RuntimeException e) {
+            fault(enlist.node(), e);
+        }
+    }
+
+    private void tell(int number, java.util.function.Consumer<Node> what) {
+        Node node = nodes.get(number);
+        if (node != null) {
+            touched.add(node);
+            guard(node, what);
+        }
+    }
+
+    private void guard(Node node, java.util.function.Consumer<Node> what) {
+        try {
+            what.accept(node);
+        } catch (RuntimeException e) {
+            nodes.remove(node.number);
+            touched.remove(node);
+            fault(node.number, e);
+        }
+    }
+
+    private void fault(int number, RuntimeException e) {
+        e.printStackTrace(err);
+        String text = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
+        reply.fault(number, text);
+    }
+}
