Hold a destination for the wait that each mail of a call tells

Cause: mails of one call bring their outcomes in different turns, each with its own wait counted from that turn; only the first was heeded.

--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -155,6 +155,10 @@
         Mail mail = c.mail;
         close(c, outcome, now);
         hear(c.endpoint.route, report, now);
+        // Guards the wait rule: each mail of a call brings its own wait, some a tick later than the first.
+        if (outcome instanceof Outcome.Full full && full.pause() > 0) {
+            c.endpoint.route.heldUntil = Math.max(c.endpoint.route.heldUntil, now + full.pause() + tick);
+        }
         learn(c, outcome, now);
         if (mail.key != null && (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.Broken
                 || outcome instanceof Outcome.CalledOff)) {
@@ -595,8 +599,7 @@
             r.shareAt = now;
         }
         double gap = SECOND / Math.max(1e-3, pace(r, now)) * Math.scalb(1.0, Math.min(r.deferredRun, 4) - 1);
-        long pause = wait > 0 ? wait + tick : (long) Math.min(target, gap);
-        r.heldUntil = Math.max(r.heldUntil, now + pause);
+        r.heldUntil = Math.max(r.heldUntil, wait > 0 ? 0 : now + (long) Math.min(target, gap));
         if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > target / 2) {
             r.cold = true;
             r.warmsFrom = NEVER;
