--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -31,7 +31,6 @@
     private static final int RUN = 8;
     private static final int LEAST_RUN = 3;
     private static final int TRIALS = 2;
-    private static final long REST = 5 * SECOND;
     private static final double REST_SHARE = 0.3;
     private static final long FORGET = 60 * SECOND;
     private static final int RING = 8;
@@ -41,6 +40,7 @@
     private static final int SHUT_RUN = 4;
     // Ratios to the target delay.
     private static final double RING_SPAN = 2;
+    private static final double REST = 0.3;
     private static final double CUT = 0.6;
     private static final double FIRST_USUAL = 0.1;
     private static final double BURST = 0.15;
@@ -381,7 +381,7 @@
     }
 
     private boolean shunned(Endpoint e, long now) {
-        return e.failedRun >= SUSPECT_RUN && now < e.failedAt + REST;
+        return e.failedRun >= SUSPECT_RUN && now < e.failedAt + 2 * target;
     }
 
     private static Endpoint lastAt(Mail m) {
@@ -615,11 +615,11 @@
             open(r, outcome, now);
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
-            if (b.failedRun >= SUSPECT_RUN || failsOften(r, FAILS_OFTEN, now)) {
+            if (b.failedRun >= SUSPECT_RUN || failsOften(r, 1, FAILS_OFTEN, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
             }
-            if (b.failedRun >= threshold(r, now) || failsOften(r, FAILS_MOSTLY, now)) {
+            if (b.failedRun >= threshold(r, now) || failsOften(r, LEAST_RUN, FAILS_MOSTLY, now)) {
                 open(r, outcome, now);
             }
         }
@@ -631,9 +631,9 @@
         return Math.max(LEAST_RUN, Math.min(RUN, r.sent.sum(now) / 2));
     }
 
-    private boolean failsOften(Route r, double share, long now) {
+    private boolean failsOften(Route r, int least, double share, long now) {
         int failed = r.failed.sum(now);
-        return failed >= LEAST_RUN && failed >= share * (failed + r.relayed.sum(now));
+        return failed >= least && failed >= share * (failed + r.relayed.sum(now));
     }
 
     private void open(Route r, Outcome outcome, long now) {
@@ -641,7 +641,9 @@
         String before = b.phase == Breaker.Phase.CLOSED ? "opened" : "reopened";
         b.phase = Breaker.Phase.OPEN;
         b.openedAt = now;
-        b.restsUntil = now + REST + (long) (REST * REST_SHARE * chance(b.openedAt));
+        // Guards against a healed destination left waiting while its mails turn late: a trial risks one mail
+        // only, so the rest is a part of the target delay, not 5 s. Harm: more trials meet a silent receiver.
+        b.restsUntil = now + (long) (REST * target * (1 + REST_SHARE * chance(b.openedAt)));
         b.trialRun = 0;
         b.failedRun = 0;
         r.cold = true;
--- a/src/main/java/wrenreach/state/Breaker.java
+++ b/src/main/java/wrenreach/state/Breaker.java
@@ -8,7 +8,6 @@
     public Phase phase = Phase.CLOSED;
     public int failedRun;
     public int trialRun;
-    public int reopened;
     public long openedAt;
     public long restsUntil;
     public long closedAt;
