--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -49,7 +49,7 @@
     // Ratios to a route's usual time.
     private static final double CUT_USUAL = 8;
     private static final double OVERDUE = 6;
-    private static final double PLACES = 3;
+    private static final double PLACES = 2;
     private static final double LEARN = 0.1;
     // Pace.
     private static final double BACK_OFF = 0.7;
