--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -299,7 +299,7 @@
                 if (fullOnly && !full || !hasTurn(m, now)) {
                     continue;
                 }
-                double worth = importance(m) * (full ? 1 : 0.5);
+                double worth = worth(m, now);
                 if (worth > most) {
                     Endpoint e = pick(d, m, now);
                     if (e != null) {
@@ -316,12 +316,35 @@
         }
     }
 
+    /**
+     * What a send of this mail is worth, with those of its key behind it: the best mean over a start of the
+     * key's line. Guards against late mails at the head of their keys that make all behind them late too,
+     * when a destination gets more than it takes. Harm: keys long late wait until the rush is over.
+     */
+    private double worth(Mail m, long now) {
+        double best = importance(m, now);
+        if (m.key != null && classOf(m).inOrder()) {
+            double sum = 0;
+            int count = 0;
+            for (Mail next : m.key.mails) {
+                sum += importance(next, now);
+                best = Math.max(best, sum / ++count);
+            }
+        }
+        return best;
+    }
+
     private boolean full(Mail m, long now) {
         return !m.overShare && now + usualOf(m.to) <= m.dueBy;
     }
 
-    private double importance(Mail m) {
-        return classOf(m).importance() * (m.overShare ? overShareImportance : 1);
+    /** All late mails count alike, as one that is a target delay late: among them the oldest goes first. */
+    private double importance(Mail m, long now) {
+        Settings.QueueClass kind = classOf(m);
+        double delay = kind.targetDelay();
+        double left = now + usualOf(m.to) <= m.dueBy ? 1 : kind.byHalf() ? Math.max(kind.lateShare(), 0.5)
+                : 1 - (1 - kind.lateShare()) * delay / Math.max(delay, kind.lifetime() - delay);
+        return kind.importance() * left * (m.overShare ? overShareImportance : 1);
     }
 
     private boolean hasTurn(Mail m, long now) {
--- a/src/main/java/wrenreach/api/Settings.java
+++ b/src/main/java/wrenreach/api/Settings.java
@@ -19,8 +19,9 @@
     /** Where a tagged mail's repeat is noticed. */
     public enum RepeatGroup { ALL, ZONE, ENDPOINT }
 
-    /** A queue class of mail. */
-    public record QueueClass(long targetDelay, long lifetime, double importance, Effect effect,
+    /** A queue class of mail; late, its importance falls to lateShare, evenly or by half each target delay. */
+    public record QueueClass(long targetDelay, long lifetime, double importance, double lateShare,
+                             boolean byHalf, Effect effect,
                              RepeatGroup repeatGroup, long repeatWindow, boolean inOrder) { }
 
     /** A kind of destination. */
--- a/src/main/java/wrenreach/wire/SettingsText.java
+++ b/src/main/java/wrenreach/wire/SettingsText.java
@@ -42,7 +42,8 @@
         for (int i = 0; i < needed("Classes.count"); i++) {
             String at = "Classes." + i + ".";
             classes.add(new Settings.QueueClass(time(at + "Promise"), time(at + "Deadline"),
-                    number(at + "Value", 1), effect(at + "Effect"), group(at + "KeyScope"),
+                    number(at + "Value", 1), number(at + "LateShare", 0),
+                    "by_half".equals(word("FamilyInfo.Decay")), effect(at + "Effect"), group(at + "KeyScope"),
                     time(at + "Window", 0), flag(at + "InTurn")));
         }
         return classes;
