--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -44,7 +44,7 @@
     private static final double CUT = 0.6;
     private static final double FIRST_USUAL = 0.1;
     private static final double BURST = 0.15;
-    private static final double REGAIN = 8;
+    private static final double REGAIN = 12;
     private static final double HEARTBEAT = 0.04;
     // Ratios to a route's usual time.
     private static final double CUT_USUAL = 8;
