--- /dev/null
+++ b/src/test/java/wrenreach/ChoiceTest.java
@@ -0,0 +1,358 @@
+package wrenreach;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import wrenreach.api.Answer;
+import wrenreach.api.Listing;
+import wrenreach.api.Outcome;
+import wrenreach.api.Settings.Effect;
+import wrenreach.api.Settings.RepeatGroup;
+import wrenreach.state.Breaker;
+import wrenreach.state.Connect;
+import wrenreach.state.Destination;
+import wrenreach.state.Endpoint;
+import wrenreach.state.Mail;
+import wrenreach.state.OrderKey;
+
+class ChoiceTest {
+    private final Setup s = new Setup();
+
+    private Breaker breaker() {
+        return s.to.routes.get(0).breaker;
+    }
+
+    // ---- Breaker ----
+
+    @Test void aRunOfFailuresOpensAndParks() {
+        s.endpoint(1, 0);
+        s.fail(12, new Outcome.Unreached());
+        assertThat(breaker().phase).isNotEqualTo(Breaker.Phase.CLOSED);
+        breaker().restsUntil = s.now + 5000 * Setup.MS;
+        s.mail(null);
+        assertThat(s.turn(100)).isEmpty();
+        assertThat(s.to.line).isNotEmpty();
+    }
+
+    @Test void aRelayedMailClearsTheRun() {
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.Erred());
+        s.end(s.send(), new Outcome.Relayed());
+        assertThat(breaker().failedRun).isZero();
+    }
+
+    @Test void fullIsNeutral() {
+        s.endpoint(1, 0);
+        s.fail(20, new Outcome.Full(0));
+        assertThat(breaker().failedRun).isZero();
+        assertThat(breaker().phase).isEqualTo(Breaker.Phase.CLOSED);
+    }
+
+    @Test void trialsGoSinglyAndTwoInARowClose() {
+        opened();
+        Connect first = s.turn(6000).get(0);
+        assertThat(s.turn(500)).isEmpty();
+        s.end(first, new Outcome.Relayed());
+        assertThat(breaker().phase).isEqualTo(Breaker.Phase.HALF_OPEN);
+        List<Connect> second = s.turn(6000);
+        assertThat(second).hasSize(1);
+        s.end(second.get(0), new Outcome.Relayed());
+        assertThat(breaker().phase).isEqualTo(Breaker.Phase.CLOSED);
+        assertThat(s.ever(Answer.Note.class)).anyMatch(n -> n.text().contains("closed"));
+    }
+
+    @Test void aFailedTrialReopensForAnotherRest() {
+        opened();
+        s.end(s.turn(6000).get(0), new Outcome.TimedOut());
+        assertThat(breaker().phase).isEqualTo(Breaker.Phase.OPEN);
+        assertThat(breaker().restsUntil).isGreaterThan(s.now);
+        assertThat(breaker().trialRun).isZero();
+    }
+
+    @Test void aMinuteIdleDropsTheBreaker() {
+        opened();
+        s.to.line.clear();
+        s.now += 61_000 * Setup.MS;
+        s.mail(null);
+        s.mail(null);
+        s.turn(100);
+        assertThat(breaker().phase).isEqualTo(Breaker.Phase.CLOSED);
+    }
+
+    @Test void mostCallsFailingOpensThoughSomePass() {
+        s.endpoint(1, 0);
+        for (int i = 0; i < 20; i++) {
+            if (i % 5 == 4) {
+                s.to.routes.get(0).relayed.add(s.now);
+                breaker().failedRun = 0;
+            }
+            s.fail(1, new Outcome.Unreached());
+        }
+        assertThat(s.ever(Answer.Note.class)).anyMatch(n -> n.text().contains("opened by Unreached"));
+    }
+
+    @Test void routesApartHaveBreakersOfTheirOwn() {
+        s.apart = true;
+        s.endpoint(1, 0);
+        s.endpoint(2, 0);
+        assertThat(s.to.routes).hasSize(2);
+        assertThat(s.to.endpoints.get(0).route).isNotSameAs(s.to.endpoints.get(1).route);
+    }
+
+    private void opened() {
+        s.endpoint(1, 0);
+        for (int i = 0; i < 3; i++) {
+            s.mail(null);
+        }
+        breaker().phase = Breaker.Phase.OPEN;
+        s.to.routes.get(0).usedAt = s.now;
+        breaker().restsUntil = s.now + 5000 * Setup.MS;
+    }
+
+    // ---- The rules ----
+
+    @Test void nothingGoesToADrainingEndpoint() {
+        Endpoint e = s.endpoint(1, 0);
+        s.list(e, Listing.State.DRAINING);
+        s.mail(null);
+        assertThat(s.turn(5)).isEmpty();
+    }
+
+    @Test void aWholeListDropsWhatItLeavesOut() {
+        Endpoint e = s.endpoint(1, 0);
+        s.choice().listed(new Listing(Listing.Scope.WHOLE, List.of()), s.now);
+        assertThat(e.ready).isFalse();
+    }
+
+    @Test void aToldWaitHoldsTheDestinationAndALongerOneWins() {
+        s.endpoint(1, 0);
+        s.endpoint(2, 0);
+        s.batch = 5;
+        Connect a = s.send();
+        Connect b = s.send();
+        s.end(a, new Outcome.Full(900 * Setup.MS));
+        s.end(b, new Outcome.Full(300 * Setup.MS));
+        assertThat(s.turn(900)).isEmpty();
+        assertThat(s.turn(2500)).isNotEmpty();
+    }
+
+    @Test void everyMailOfACallBringsAWaitOfItsOwn() {
+        s.batch = 5;
+        s.endpoint(1, 0);
+        s.mail(null);
+        s.mail(null);
+        List<Connect> call = s.turn(5);
+        assertThat(call.get(0).call).isSameAs(call.get(1).call);
+        s.end(call.get(0), new Outcome.Full(500 * Setup.MS));
+        s.now += 5 * Setup.MS;
+        s.end(call.get(1), new Outcome.Full(500 * Setup.MS));
+        assertThat(s.to.routes.get(0).heldUntil).isGreaterThanOrEqualTo(s.now + 500 * Setup.MS);
+    }
+
+    @Test void mailsOfAKeyGoOneByOneAndRestAfterATimeOut() {
+        s.inOrder = true;
+        s.endpoint(1, 0);
+        OrderKey key = new OrderKey();
+        Mail first = s.mail(key);
+        s.mail(key);
+        Connect c = s.turn(5).get(0);
+        assertThat(c.mail).isSameAs(first);
+        assertThat(s.turn(100)).isEmpty();
+        s.answers.addAll(s.choice().withdrawn(first, s.now));
+        assertThat(s.turn(100)).isEmpty();
+        s.end(c, new Outcome.TimedOut());
+        s.to.routes.get(0).cold = false;
+        assertThat(s.turn(295)).isEmpty();
+        assertThat(s.turn(3000)).hasSize(1);
+    }
+
+    @Test void aTaggedMailIsRepeatedOnlyInsideItsWindow() {
+        s.endpoint(1, 0);
+        Connect c = s.send();
+        s.end(c, new Outcome.TimedOut());
+        assertThat(s.turn(8000)).isEmpty();
+        assertThat(s.ever(Answer.Bounce.class)).hasSize(1);
+    }
+
+    @Test void aTaggedMailKeepsToItsRepeatGroup() {
+        s.group = RepeatGroup.ZONE;
+        Endpoint near = s.endpoint(1, 0);
+        s.endpoint(2, 1);
+        Connect c = s.send();
+        assertThat(c.endpoint).isSameAs(near);
+        s.list(near, Listing.State.GONE);
+        s.end(c, new Outcome.Broken());
+        assertThat(s.turn(1000)).isEmpty();
+        assertThat(s.ever(Answer.Bounce.class)).as("it may have run and no repeat is allowed").hasSize(1);
+    }
+
+    @Test void onceOnlyMailThatMayHaveRunBounces() {
+        s.effect = Effect.ONCE_ONLY;
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.TimedOut());
+        assertThat(s.turn(2000)).isEmpty();
+        assertThat(s.ever(Answer.Bounce.class)).hasSize(1);
+    }
+
+    @Test void onceOnlyMailThatNeverRanGoesAgain() {
+        s.effect = Effect.ONCE_ONLY;
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.Unreached());
+        assertThat(s.turn(4000)).hasSize(1);
+    }
+
+    @Test void redeliverableMailIsDeferredWhenItsTimeIsUp() {
+        s.effect = Effect.REDELIVERABLE;
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.TimedOut());
+        s.list(s.to.endpoints.get(0), Listing.State.DRAINING);
+        s.turn(28_000);
+        assertThat(s.ever(Answer.Defer.class)).hasSize(1);
+    }
+
+    @Test void noMailOutlivesItsLifetime() {
+        Mail m = s.mail(null);
+        s.turn(27_990);
+        assertThat(m.over).isTrue();
+        assertThat(s.ever(Answer.Defer.class)).hasSize(1);
+        assertThat(s.turn(1000)).isEmpty();
+    }
+
+    @Test void anEndedMailIsNeverSentOrEndedAgain() {
+        s.endpoint(1, 0);
+        Connect c = s.send();
+        s.choice().withdrawn(c.mail, s.now);
+        s.end(c, new Outcome.Broken());
+        assertThat(s.turn(1000)).isEmpty();
+        assertThat(s.ever(Answer.Bounce.class)).isEmpty();
+        assertThat(s.ever(Answer.Defer.class)).isEmpty();
+    }
+
+    @Test void connectsOfAMailAreLimited() {
+        s.tries = 2;
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.Unreached());
+        s.end(s.turn(5000).get(0), new Outcome.Unreached());
+        assertThat(s.ever(Answer.Defer.class)).hasSize(1);
+    }
+
+    // ---- Pace, lane, admission ----
+
+    @Test void aReturningRouteIsPacedByItsColdPart() {
+        s.weight = 8;
+        s.endpoint(1, 0);
+        s.to.routes.get(0).cold = true;
+        s.to.routes.get(0).warmsFrom = s.now;
+        int sent = 0;
+        for (int i = 0; i < 30; i++) {
+            s.mail(null);
+            for (Connect c : s.turn(100)) {
+                s.end(c, new Outcome.Relayed());
+                sent++;
+            }
+        }
+        // 3 s of 1.5 x 8 a second x (0.25 to 0.475) for one node of two, and the token it starts with.
+        assertThat(sent).isBetween(3, 8);
+    }
+
+    @Test void oneFailureAmongFewCallsPacesAsCold() {
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.TimedOut());
+        assertThat(s.to.routes.get(0).cold).isTrue();
+    }
+
+    @Test void refusalsLowerThePaceAndTimeRaisesIt() {
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.Full(0));
+        double after = s.to.routes.get(0).share;
+        assertThat(after).isLessThan(1);
+        s.end(s.turn(5000).get(0), new Outcome.Full(0));
+        assertThat(s.to.routes.get(0).share).isGreaterThan(after * 0.7);
+    }
+
+    @Test void anOverdueCallLeavesTheRouteOneCall() {
+        s.endpoint(1, 0);
+        s.send();
+        s.now += 4000 * Setup.MS;
+        s.mail(null);
+        assertThat(s.turn(5)).isEmpty();
+    }
+
+    @Test void oneDestinationHoldsHalfOfTheSlotsAtMost() {
+        s.slots = 6;
+        s.endpoint(1, 0);
+        s.endpoint(2, 0);
+        for (int i = 0; i < 10; i++) {
+            s.mail(null);
+        }
+        assertThat(s.turn(5)).hasSize(3);
+    }
+
+    @Test void aMailPredictedTooLateIsDeferredAtOnce() {
+        s.weight = 1;
+        s.endpoint(1, 0);
+        for (int i = 0; i < 40; i++) {
+            s.mail(null);
+        }
+        assertThat(s.ever(Answer.Defer.class)).isNotEmpty().allMatch(d -> d.retryAfter() <= 2000 * Setup.MS);
+    }
+
+    @Test void whenHeldMailsRunOutTheLongestLineGivesOne() {
+        s.held = 40;
+        s.weight = 5;
+        s.endpoint(1, 0);
+        s.turn(5);
+        for (int i = 0; i < 39; i++) {
+            s.mail(null);
+        }
+        Destination other = new Destination(2);
+        Mail m = s.mail(other, null);
+        assertThat(m.over).isFalse();
+        assertThat(s.ever(Answer.Defer.class)).isNotEmpty();
+    }
+
+    @Test void overShareMailGoesAfterTheOthers() {
+        s.quota = 2;
+        s.weight = 4;
+        s.endpoint(1, 0);
+        for (int i = 0; i < 6; i++) {
+            s.mail(null);
+        }
+        Mail over = s.to.line.stream().filter(m -> m.overShare).findFirst().orElseThrow();
+        assertThat(s.turn(5)).noneMatch(c -> c.mail == over);
+    }
+
+    @Test void lateHeadsOfOtherKeysDoNotHoldUpAFreshKey() {
+        s.inOrder = true;
+        s.weight = 1;
+        s.endpoint(1, 0);
+        OrderKey late = new OrderKey();
+        s.mail(late);
+        s.mail(late);
+        s.to.routes.get(0).tokens = 0;
+        s.to.routes.get(0).tokensAt = s.now;
+        s.turn(0);
+        s.now += 2700 * Setup.MS;
+        Mail fresh = s.mail(new OrderKey());
+        assertThat(s.turn(5).get(0).mail).isSameAs(fresh);
+    }
+
+    @Test void mailsForABatchShareACall() {
+        s.batch = 3;
+        s.endpoint(1, 0);
+        for (int i = 0; i < 4; i++) {
+            s.mail(null);
+        }
+        List<Connect> sent = s.turn(5);
+        assertThat(sent.get(0).call.size).isEqualTo(3);
+    }
+
+    @Test void aFailedListIsAskedForAgain() {
+        s.ask = true;
+        s.turn(0);
+        s.choice().listed(new Listing(Listing.Scope.FAILED, List.of()), s.now);
+        s.turn(3000);
+        assertThat(s.ever(Answer.FollowList.class)).hasSize(2);
+    }
+}
