--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -51,9 +51,6 @@
     private static final double OVERDUE = 6;
     private static final double PLACES = 2;
     private static final double LEARN = 0.1;
-    // The cut-off stretches with each time-out and comes back with each mail relayed.
-    private static final double MOST_PATIENCE = 8;
-    private static final double CALMS = 0.9;
     // Pace.
     private static final double BACK_OFF = 0.7;
     private static final double LEAST_SHARE = 0.5;
@@ -517,7 +514,7 @@
     // ---- Cut-off ----
 
     private long cutOff(Route r) {
-        return (long) (Math.max(CUT * target, CUT_USUAL * r.usual) * r.patience);
+        return (long) Math.max(CUT * target, CUT_USUAL * r.usual);
     }
 
     // ---- Pace ----
@@ -603,7 +600,6 @@
         r.usual += LEARN * (now - c.sentAt - r.usual);
         c.endpoint.failedRun = 0;
         c.endpoint.relayedAt = now;
-        r.patience = Math.max(1, r.patience * CALMS);
         if (r.cold && r.warmsFrom == NEVER) {
             r.warmsFrom = now;
         }
@@ -635,11 +631,6 @@
 
     private void failed(Route r, Connect c, Outcome outcome, long now) {
         r.failed.add(now);
-        // Guards against cutting off, again and again, calls that a slowed receiver would still have done: a
-        // mail cut off may be past repeating. Covers queues at the receiver too. Harm: silence is seen later.
-        if (outcome instanceof Outcome.TimedOut) {
-            r.patience = Math.min(MOST_PATIENCE, r.patience * 2);
-        }
         c.endpoint.failedRun++;
         c.endpoint.failedAt = now;
         Breaker b = r.breaker;
--- a/src/main/java/wrenreach/state/Route.java
+++ b/src/main/java/wrenreach/state/Route.java
@@ -25,7 +25,6 @@
     public long heldUntil;
     public int deferredRun;
     public double usual;
-    public double patience = 1;
     public long usedAt;
     public long relayedAt;
     public boolean cold;
