--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -50,7 +50,10 @@
     private static final double CUT_USUAL = 8;
     private static final double OVERDUE = 6;
     private static final double PLACES = 2;
-    private static final double LEARN = 0.1;
+    private static final double LEARN = 0.03;
+    private static final double LEARN_RECENT = 0.3;
+    private static final double CLIP = 3;
+    private static final double SLOWED = 4;
     // Pace.
     private static final double BACK_OFF = 0.7;
     private static final double LEAST_SHARE = 0.5;
@@ -597,7 +600,8 @@
         r.relayed.add(now);
         r.relayedAt = now;
         r.deferredRun = 0;
-        r.usual += LEARN * (now - c.sentAt - r.usual);
+        r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(now - c.sentAt, CLIP * r.usual) - r.usual);
+        r.recent += LEARN_RECENT * (now - c.sentAt - r.recent);
         c.endpoint.failedRun = 0;
         c.endpoint.relayedAt = now;
         if (r.cold && r.warmsFrom == NEVER) {
@@ -631,6 +635,9 @@
 
     private void failed(Route r, Connect c, Outcome outcome, long now) {
         r.failed.add(now);
+        if (outcome instanceof Outcome.TimedOut) {
+            r.recent += LEARN_RECENT * (now - c.sentAt - r.recent);
+        }
         c.endpoint.failedRun++;
         c.endpoint.failedAt = now;
         Breaker b = r.breaker;
@@ -694,6 +701,11 @@
         if (r.cold && r.warmsFrom == NEVER || r.breaker.phase != Breaker.Phase.CLOSED) {
             return true;
         }
+        // Guards the slots against a receiver that answers, but many times slower than it used to: its calls
+        // would fill them all. Harm: a receiver slower for good waits in the lane until its usual time is learnt.
+        if (r.recent > SLOWED * r.usual) {
+            return true;
+        }
         for (Call call : r.calls) {
             if (now - call.sentAt > OVERDUE * r.usual && r.relayedAt < call.sentAt) {
                 return true;
@@ -816,6 +828,8 @@
             String name = "destination " + e.to.number + (apart ? " route " + e.to.routes.size() : "");
             Route r = new Route(name, e.kind, RING, (long) (RING_SPAN * target / RING));
             r.usual = FIRST_USUAL * target;
+            r.recent = r.usual;
+            r.learnt = 4;
             r.share = 1;
             r.tokens = 1;
             e.to.routes.add(r);
--- a/src/main/java/wrenreach/state/Route.java
+++ b/src/main/java/wrenreach/state/Route.java
@@ -25,6 +25,8 @@
     public long heldUntil;
     public int deferredRun;
     public double usual;
+    public double recent;
+    public int learnt;
     public long usedAt;
     public long relayedAt;
     public boolean cold;
