--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -48,6 +48,7 @@
     private static final double HEARTBEAT = 0.04;
     // Ratios to a route's usual time.
     private static final double CUT_USUAL = 8;
+    private static final double CUT_HUNG = 6;
     private static final double OVERDUE = 6;
     private static final double PLACES = 2;
     private static final double LEARN = 0.03;
@@ -485,7 +486,7 @@
         }
         call.size++;
         call.open++;
-        Connect c = new Connect(m, e, now, Math.min(now + cutOff(r), m.endsBy - 2 * tick), call);
+        Connect c = new Connect(m, e, now, Math.min(now + cutOff(r, now), m.endsBy - 2 * tick), call);
         m.connects.add(c);
         m.out++;
         m.to.line.remove(m);
@@ -516,7 +517,15 @@
 
     // ---- Cut-off ----
 
-    private long cutOff(Route r) {
+    /**
+     * Guards against a receiver where some calls hang while the others are relayed at the usual pace: a hung
+     * call is given up early, while its mail may still be repeated. Harm: the slowest good calls are cut too.
+     */
+    private long cutOff(Route r, long now) {
+        int hung = r.timedOut.sum(now);
+        if (hung > 0 && r.relayed.sum(now) >= hung && r.recent < CLIP * r.usual) {
+            return (long) (CUT_HUNG * r.usual);
+        }
         return (long) Math.max(CUT * target, CUT_USUAL * r.usual);
     }
 
@@ -636,7 +645,7 @@
     private void failed(Route r, Connect c, Outcome outcome, long now) {
         r.failed.add(now);
         if (outcome instanceof Outcome.TimedOut) {
-            r.recent += LEARN_RECENT * (now - c.sentAt - r.recent);
+            r.timedOut.add(now);
         }
         c.endpoint.failedRun++;
         c.endpoint.failedAt = now;
