--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -606,9 +606,6 @@
     }
 
     private void relayed(Route r, Connect c, long now) {
-        // Guards against single lost calls pacing a sound route as cold: no outage fits between two relayed
-        // mails close together, unless most calls fail. Harm: an outage shorter than a target delay is missed.
-        boolean sound = c.sentAt - r.relayedAt < target && !failsOften(r, 1, FAILS_OFTEN, now);
         r.relayed.add(now);
         r.relayedAt = now;
         r.deferredRun = 0;
@@ -617,7 +614,6 @@
         c.endpoint.failedRun = 0;
         c.endpoint.relayedAt = now;
         if (r.cold && r.warmsFrom == NEVER) {
-            r.cold = !sound || r.breaker.phase != Breaker.Phase.CLOSED;
             r.warmsFrom = now;
         }
         Breaker b = r.breaker;
