--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -57,8 +57,6 @@
     private static final double SLOWED = 4;
     // Pace.
     private static final double BACK_OFF = 0.7;
-    private static final double SCARCE = 0.15;
-    private static final double EASE = 0.85;
     private static final double LEAST_SHARE = 0.5;
     private static final double COLD_MARGIN = 1.0;
 
@@ -577,10 +575,6 @@
         if (leftAt >= 0 && leftAt < report.length) {
             r.left = report[leftAt];
             r.leftAt = now;
-            if (r.left < SCARCE && r.limitSeen && now - r.shareAt > r.usual) {
-                r.share = Math.max(LEAST_SHARE / nodes, share(r, now) * EASE);
-                r.shareAt = now;
-            }
         }
     }
 
