--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -42,6 +42,7 @@
     private static final double RING_SPAN = 2;
     private static final double REST = 0.3;
     private static final double CUT = 0.6;
+    private static final double SHUT_AFTER = 1.5;
     private static final double FIRST_USUAL = 0.1;
     private static final double BURST = 0.15;
     private static final double REGAIN = 12;
@@ -636,7 +637,7 @@
         }
         double gap = SECOND / Math.max(1e-3, pace(r, now)) * Math.scalb(1.0, Math.min(r.deferredRun, 4) - 1);
         r.heldUntil = Math.max(r.heldUntil, wait > 0 ? 0 : now + (long) Math.min(target, gap));
-        if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > target / 2) {
+        if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > SHUT_AFTER * target) {
             r.cold = true;
             r.warmsFrom = NEVER;
         }
