--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -635,7 +635,7 @@
             r.share = Math.max(LEAST_SHARE / nodes, share(r, now) * BACK_OFF);
             r.shareAt = now;
         }
-        double gap = SECOND / Math.max(1e-3, pace(r, now)) * Math.scalb(1.0, Math.min(r.deferredRun, 4) - 1);
+        double gap = r.usual * Math.scalb(1.0, Math.min(r.deferredRun, 4) - 1);
         r.heldUntil = Math.max(r.heldUntil, wait > 0 ? 0 : now + (long) Math.min(target, gap));
         if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > SHUT_AFTER * target) {
             r.cold = true;
