--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -487,7 +487,8 @@
         }
         call.size++;
         call.open++;
-        Connect c = new Connect(m, e, now, Math.min(now + cutOff(r, now), m.endsBy - 2 * tick), call);
+        long cut = repeatsAfter(m, cutOff(r, now)) ? cutOff(r, now) : classOf(m).lifetime() / 2;
+        Connect c = new Connect(m, e, now, Math.min(now + cut, m.endsBy - 2 * tick), call);
         m.connects.add(c);
         m.out++;
         m.to.line.remove(m);
@@ -530,6 +531,17 @@
         return (long) Math.max(CUT * target, CUT_USUAL * r.usual);
     }
 
+    /**
+     * Whether the mail could be sent again after such a cut-off and be waited for as long. Where not, cutting
+     * saves nothing: guards against losing mails that a slowed receiver would still relay. Harm: a silent
+     * receiver holds their slots for longer.
+     */
+    private boolean repeatsAfter(Mail m, long cut) {
+        Settings.QueueClass kind = classOf(m);
+        return kind.effect() == Settings.Effect.REDELIVERABLE
+                || kind.effect() == Settings.Effect.TAGGED && kind.repeatWindow() >= 2 * cut;
+    }
+
     // ---- Pace ----
 
     private double limit(Route r) {
