--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -71,7 +71,6 @@
     private final int heldLimit;
     private final int tries;
     private final boolean copies;
-    private final boolean mayCallOff;
     private final long retryAfterLimit;
     private final long idleFor;
     private final boolean listOnRequest;
@@ -113,7 +112,6 @@
         heldLimit = s.heldLimit();
         tries = s.connectLimit();
         copies = s.copiesAllowed();
-        mayCallOff = s.revokeAllowed();
         retryAfterLimit = s.retryAfterTold() ? s.retryAfterLimit() : 0;
         idleFor = s.connectionIdle();
         listOnRequest = s.listOnRequest();
@@ -218,11 +216,6 @@
             answers.add(new Answer.FollowList());
         }
         expire(now);
-        for (Destination d : destinations) {
-            for (Route r : mayCallOff ? d.routes : List.<Route>of()) {
-                callOffHung(r, now);
-            }
-        }
         for (int pass = 0; pass < 2; pass++) {
             for (int i = 0; i < destinations.size(); i++) {
                 serve(destinations.get((firstServed + i) % destinations.size()), pass == 0, now);
@@ -494,10 +487,9 @@
         }
         call.size++;
         call.open++;
-        long cut = repeatsAfter(m, cutOff(r)) ? cutOff(r) : classOf(m).lifetime() / 2;
+        long cut = repeatsAfter(m, cutOff(r, now)) ? cutOff(r, now) : classOf(m).lifetime() / 2;
         Connect c = new Connect(m, e, now, Math.min(now + cut, m.endsBy - 2 * tick), call);
         m.connects.add(c);
-        call.connects.add(c);
         m.out++;
         m.to.line.remove(m);
         r.usedAt = now;
@@ -527,29 +519,16 @@
 
     // ---- Cut-off ----
 
-    private long cutOff(Route r) {
-        return (long) Math.max(CUT * target, CUT_USUAL * r.usual);
-    }
-
     /**
-     * Guards against calls that hang while later ones of the same route are relayed at the usual pace: lossy
-     * paths, one hung endpoint. Slowness delays the later ones too and does not act here. The mail goes again
-     * while it may be repeated. Harm: the slowest good calls are called off.
+     * Guards against a receiver where some calls hang while the others are relayed at the usual pace: a hung
+     * call is given up early, while its mail may still be repeated. Harm: the slowest good calls are cut too.
      */
-    private void callOffHung(Route r, long now) {
-        for (Call call : r.calls) {
-            boolean hung = now - call.sentAt > CUT_HUNG * r.usual && r.passedAt > call.sentAt;
-            for (Connect c : hung && !call.calledOff ? call.connects : List.<Connect>of()) {
-                if (c.open && !c.mail.over && c.mail.connects.size() < tries
-                        && mayRepeat(c.mail, c.endpoint, now + (long) r.usual)) {
-                    call.calledOff = true;
-                    answers.add(new Answer.Revoke(c));
-                }
-            }
-            if (!hung) {
-                later(call.sentAt + (long) (CUT_HUNG * r.usual) + tick, now);
-            }
+    private long cutOff(Route r, long now) {
+        int hung = r.timedOut.sum(now);
+        if (hung > 0 && r.relayed.sum(now) >= hung && r.recent < CLIP * r.usual) {
+            return (long) (CUT_HUNG * r.usual);
         }
+        return (long) Math.max(CUT * target, CUT_USUAL * r.usual);
     }
 
     /**
@@ -642,7 +621,6 @@
     private void relayed(Route r, Connect c, long now) {
         r.relayed.add(now);
         r.relayedAt = now;
-        r.passedAt = Math.max(r.passedAt, c.sentAt);
         r.deferredRun = 0;
         r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(now - c.sentAt, CLIP * r.usual) - r.usual);
         r.recent += LEARN_RECENT * (now - c.sentAt - r.recent);
@@ -679,6 +657,9 @@
 
     private void failed(Route r, Connect c, Outcome outcome, long now) {
         r.failed.add(now);
+        if (outcome instanceof Outcome.TimedOut) {
+            r.timedOut.add(now);
+        }
         c.endpoint.failedRun++;
         c.endpoint.failedAt = now;
         Breaker b = r.breaker;
--- a/src/main/java/wrenreach/state/Route.java
+++ b/src/main/java/wrenreach/state/Route.java
@@ -11,6 +11,7 @@
     public final List<Call> calls = new ArrayList<>();
     public final BucketRing relayed;
     public final BucketRing failed;
+    public final BucketRing timedOut;
     public final BucketRing deferred;
     public final BucketRing sent;
     public double weight;
@@ -29,7 +30,6 @@
     public int learnt;
     public long usedAt;
     public long relayedAt;
-    public long passedAt;
     public boolean cold;
     public long warmsFrom;
     public int endpoints;
@@ -39,6 +39,7 @@
         this.kind = kind;
         relayed = new BucketRing(buckets, width);
         failed = new BucketRing(buckets, width);
+        timedOut = new BucketRing(buckets, width);
         deferred = new BucketRing(buckets, width);
         sent = new BucketRing(buckets, width);
     }
