Let a cold route's pace climb over 0.7 of Cold

OverloadFactor leaves the room: the pace of all nodes together stays under OverloadFactor times a linear climb with a little spare.

--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -59,7 +59,8 @@
     // Pace.
     private static final double BACK_OFF = 0.7;
     private static final double LEAST_SHARE = 0.5;
-    private static final double COLD_MARGIN = 1.0;
+    // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
+    private static final double WARMS = 0.7;
 
     private final int nodes;
     private final int me;
@@ -561,9 +562,9 @@
             r.cold = false;
         }
         if (r.cold) {
-            double warm = r.warmsFrom == NEVER ? 0 : (double) (now - r.warmsFrom) / coldFor;
+            double warm = r.warmsFrom == NEVER ? 0 : (double) (now - r.warmsFrom) / (WARMS * coldFor);
             double can = limit(r) * (coldFrom + (1 - coldFrom) * warm);
-            pace = Math.min(pace, COLD_MARGIN * overload * can / nodes);
+            pace = Math.min(pace, overload * can / nodes);
         }
         return pace;
     }
