--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -72,6 +72,7 @@
     private final int heldLimit;
     private final int tries;
     private final boolean copies;
+    private final boolean mayCallOff;
     private final long retryAfterLimit;
     private final long idleFor;
     private final boolean listOnRequest;
@@ -113,6 +114,7 @@
         heldLimit = s.heldLimit();
         tries = s.connectLimit();
         copies = s.copiesAllowed();
+        mayCallOff = s.revokeAllowed();
         retryAfterLimit = s.retryAfterTold() ? s.retryAfterLimit() : 0;
         idleFor = s.connectionIdle();
         listOnRequest = s.listOnRequest();
@@ -217,6 +219,9 @@
             answers.add(new Answer.FollowList());
         }
         expire(now);
+        if (mayCallOff && slotsOut >= slots) {
+            callOffOverdue(now);
+        }
         for (int pass = 0; pass < 2; pass++) {
             for (int i = 0; i < destinations.size(); i++) {
                 serve(destinations.get((firstServed + i) % destinations.size()), pass == 0, now);
@@ -488,9 +493,10 @@
         }
         call.size++;
         call.open++;
-        long cut = repeatsAfter(m, cutOff(r, now)) ? cutOff(r, now) : classOf(m).lifetime() / 2;
+        long cut = !mayCallOff || repeatsAfter(m, cutOff(r, now)) ? cutOff(r, now) : classOf(m).lifetime() / 2;
         Connect c = new Connect(m, e, now, Math.min(now + cut, m.endsBy - 2 * tick), call);
         m.connects.add(c);
+        call.connects.add(c);
         m.out++;
         m.to.line.remove(m);
         r.usedAt = now;
@@ -543,6 +549,23 @@
                 || kind.effect() == Settings.Effect.TAGGED && kind.repeatWindow() >= 2 * cut;
     }
 
+    /**
+     * Guards the slots where calls with a late cut-off hang at once at many receivers: when no slot is free,
+     * calls past the ordinary cut-off are called off, and count as time-outs. Harm: their mails may be lost.
+     */
+    private void callOffOverdue(long now) {
+        for (Destination d : destinations) {
+            for (Route r : d.routes) {
+                for (Call call : r.calls) {
+                    if (!call.calledOff && now - call.sentAt > cutOff(r, now)) {
+                        call.calledOff = true;
+                        call.connects.forEach(c -> answers.add(new Answer.Revoke(c)));
+                    }
+                }
+            }
+        }
+    }
+
     // ---- Pace ----
 
     private double limit(Route r) {
@@ -610,7 +633,7 @@
         } else if (outcome instanceof Outcome.Unreached && atCap(c.endpoint, now)) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
-        } else if (!(outcome instanceof Outcome.CalledOff) && !(outcome instanceof Outcome.NotSent)) {
+        } else if (!(outcome instanceof Outcome.NotSent)) {
             failed(r, c, outcome, now);
         }
     }
@@ -658,7 +681,7 @@
 
     private void failed(Route r, Connect c, Outcome outcome, long now) {
         r.failed.add(now);
-        if (outcome instanceof Outcome.TimedOut) {
+        if (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.CalledOff) {
             r.timedOut.add(now);
         }
         c.endpoint.failedRun++;
--- a/src/main/java/wrenreach/state/Call.java
+++ b/src/main/java/wrenreach/state/Call.java
@@ -1,11 +1,16 @@
 package wrenreach.state;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** Connects that travel together: one slot, one fate. */
 public final class Call {
     public final long sentAt;
+    public final List<Connect> connects = new ArrayList<>(1);
     public int size;
     public int open;
     public boolean counted;
+    public boolean calledOff;
 
     public Call(long sentAt) {
         this.sentAt = sentAt;
