--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -220,7 +220,7 @@
         }
         expire(now);
         if (mayCallOff && slotsOut >= slots) {
-            callOffOverdue(now);
+            callOffOldest(now);
         }
         for (int pass = 0; pass < 2; pass++) {
             for (int i = 0; i < destinations.size(); i++) {
@@ -551,19 +551,23 @@
 
     /**
      * Guards the slots where calls with a late cut-off hang at once at many receivers: when no slot is free,
-     * calls past the ordinary cut-off are called off, and count as time-outs. Harm: their mails may be lost.
+     * the oldest call past the ordinary cut-off is called off, and counts as timed out. Harm: their mails may be lost.
      */
-    private void callOffOverdue(long now) {
+    private void callOffOldest(long now) {
+        Call oldest = null;
         for (Destination d : destinations) {
             for (Route r : d.routes) {
                 for (Call call : r.calls) {
-                    if (!call.calledOff && now - call.sentAt > cutOff(r, now)) {
-                        call.calledOff = true;
-                        call.connects.forEach(c -> answers.add(new Answer.Revoke(c)));
+                    if (now - call.sentAt > cutOff(r, now) && (oldest == null || call.sentAt < oldest.sentAt)) {
+                        oldest = call;
                     }
                 }
             }
         }
+        if (oldest != null && !oldest.calledOff) {
+            oldest.calledOff = true;
+            oldest.connects.forEach(c -> answers.add(new Answer.Revoke(c)));
+        }
     }
 
     // ---- Pace ----
