--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -493,7 +493,7 @@
         }
         call.size++;
         call.open++;
-        long cut = !mayCallOff || repeatsAfter(m, cutOff(r, now)) ? cutOff(r, now) : classOf(m).lifetime() / 2;
+        long cut = !mayCallOff || r.breaker.phase != Breaker.Phase.CLOSED || repeatsAfter(m, cutOff(r, now)) ? cutOff(r, now) : classOf(m).lifetime() / 2;
         Connect c = new Connect(m, e, now, Math.min(now + cut, m.endsBy - 2 * tick), call);
         m.connects.add(c);
         call.connects.add(c);
