--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -383,8 +383,8 @@
             if (!maySend(m, e, now) || !joins(e, now) && !admits(e, now)) {
                 continue;
             }
-            double cost = e.out + (idle(e, now) ? 0 : 2) + (e.zone == zone ? 0 : 1) + (shunned(e, now) ? 100 : 0)
-                    + (lastAt(m) == e ? 5 : 0) + (joins(e, now) ? -50 : 0);
+            double cost = e.out + (idle(e, now) ? 0 : 2) + (e.zone == zone ? 0 : 1)
+                    + (shunned(e, now) ? 100 : 0) + (lastAt(m) == e ? 5 : 0) + (joins(e, now) ? -50 : 0);
             if (cost < least) {
                 least = cost;
                 best = e;
@@ -423,7 +423,8 @@
     }
 
     private int places(Endpoint e, long now) {
-        int most = (int) Math.ceil(PLACES * limit(e.route) * e.route.usual / SECOND / Math.max(1, e.route.endpoints));
+        Route r = e.route;
+        int most = (int) Math.ceil(PLACES * limit(r) * r.usual / SECOND / Math.max(1, r.endpoints));
         if (now - e.capAt > coldFor) {
             e.cap = Integer.MAX_VALUE;
         }
@@ -493,7 +494,8 @@
         }
         call.size++;
         call.open++;
-        long cut = !mayCallOff || r.breaker.phase != Breaker.Phase.CLOSED || repeatsAfter(m, cutOff(r, now)) ? cutOff(r, now) : classOf(m).lifetime() / 2;
+        boolean ordinary = !mayCallOff || repeatsAfter(m, cutOff(r, now));
+        long cut = ordinary ? cutOff(r, now) : classOf(m).lifetime() / 2;
         Connect c = new Connect(m, e, now, Math.min(now + cut, m.endsBy - 2 * tick), call);
         m.connects.add(c);
         call.connects.add(c);
@@ -551,14 +553,16 @@
 
     /**
      * Guards the slots where calls with a late cut-off hang at once at many receivers: when no slot is free,
-     * the oldest call past the ordinary cut-off is called off, and counts as timed out. Harm: their mails may be lost.
+     * the oldest call past the ordinary cut-off is called off, and counts as timed out. Harm: its mails may be
+     * lost.
      */
     private void callOffOldest(long now) {
         Call oldest = null;
         for (Destination d : destinations) {
             for (Route r : d.routes) {
                 for (Call call : r.calls) {
-                    if (now - call.sentAt > cutOff(r, now) && (oldest == null || call.sentAt < oldest.sentAt)) {
+                    boolean older = oldest == null || call.sentAt < oldest.sentAt;
+                    if (older && now - call.sentAt > cutOff(r, now)) {
                         oldest = call;
                     }
                 }
@@ -752,7 +756,7 @@
             return true;
         }
         // Guards the slots against a receiver that answers, but many times slower than it used to: its calls
-        // would fill them all. Harm: a receiver slower for good waits in the lane until its usual time is learnt.
+        // would fill them all. Harm: one slower for good waits in the lane until its usual time is learnt.
         if (r.recent > SLOWED * r.usual) {
             return true;
         }
@@ -829,7 +833,8 @@
         if (m.over) {
             return;
         }
-        answers.add(mayDefer(m, now) ? new Answer.Defer(m, Math.min(wait, retryAfterLimit)) : new Answer.Bounce(m));
+        long after = Math.min(wait, retryAfterLimit);
+        answers.add(mayDefer(m, now) ? new Answer.Defer(m, after) : new Answer.Bounce(m));
         finish(m);
         leaveKey(m);
     }
