--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -58,6 +58,8 @@
     private static final double SLOWED = 4;
     // Pace.
     private static final double BACK_OFF = 0.7;
+    private static final double SCARCE = 0.15;
+    private static final double PLENTY = 0.65;
     private static final double LEAST_SHARE = 0.5;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
@@ -584,7 +586,15 @@
     }
 
     private double share(Route r, long now) {
-        return Math.min(1, r.share + (now - r.shareAt) / (REGAIN * target));
+        double grown = Math.min(1, r.share + (now - r.shareAt) / (REGAIN * target));
+        // Guards a limit shared by many nodes that see few refusals each: as the reported allowance runs low,
+        // all fall back to their even part. Harm: where it counts by spans, the end of a span looks scarce.
+        if (r.limitSeen && now - r.leftAt < target) {
+            double even = 1.0 / nodes;
+            double plenty = Math.max(0, Math.min(1, (r.left - SCARCE) / (PLENTY - SCARCE)));
+            grown = Math.min(grown, even + (1 - even) * plenty);
+        }
+        return grown;
     }
 
     private double pace(Route r, long now) {
