--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -35,7 +35,7 @@
     private static final long FORGET = 60 * SECOND;
     private static final int RING = 8;
     private static final double FAILS_MOSTLY = 0.75;
-    private static final double FAILS_OFTEN = 0.4;
+    private static final double FAILS_OFTEN = 0.5;
     private static final int SUSPECT_RUN = 2;
     private static final int SHUT_RUN = 4;
     // Ratios to the target delay.
@@ -709,7 +709,7 @@
             open(r, outcome, now);
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
-            if (b.failedRun >= SUSPECT_RUN || failsOften(r, 1, FAILS_OFTEN, now)) {
+            if (b.failedRun >= LEAST_RUN || failsOften(r, 2, FAILS_OFTEN, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
             }
