--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -143,6 +143,11 @@
         held++;
         mail.sequence = sequence++;
         mail.dueBy = mail.endsBy - kind.lifetime() + kind.targetDelay();
+        // Guards mails that come with little time of their own: no later try is left to them, so they go with
+        // those in time. Harm: a client's last repeat is served before its turn.
+        if (mail.endsBy - now < kind.targetDelay()) {
+            mail.dueBy = mail.endsBy;
+        }
         mail.overShare = overShare(mail, now);
         know(mail.to);
         if (mail.key != null && kind.inOrder()) {
