--- a/src/main/java/wrenreach/wire/FrameReader.java
+++ b/src/main/java/wrenreach/wire/FrameReader.java
@@ -19,6 +19,7 @@
     private ByteBuffer frame;
     private String record;
     private int start;
+    private int fieldAt;
 
     public FrameReader(InputStream in) {
         this.in = in;
@@ -122,30 +123,28 @@
     }
 
     private int scope() throws WireException {
-        int at = frame.position();
-        int scope = u8("Scope");
-        if (scope > 3) {
-            throw bad(at, "a Scope from 0 to 3, got " + scope);
-        }
-        return scope;
+        return upTo(3, "Scope", u8At("Scope"));
     }
 
     private int result() throws WireException {
-        int at = frame.position();
-        int result = u8("Result");
-        if (result > 7) {
-            throw bad(at, "a Result from 0 to 7, got " + result);
-        }
-        return result;
+        return upTo(7, "Result", u8At("Result"));
     }
 
     private int roster() throws WireException {
-        int at = frame.position();
-        int roster = u16("RosterId");
-        if (roster >= ROSTERS) {
-            throw bad(at, "a list number from 0 to 15, got " + roster);
+        fieldAt = frame.position();
+        return upTo(ROSTERS - 1, "list number", u16("RosterId"));
+    }
+
+    private int u8At(String what) throws WireException {
+        fieldAt = frame.position();
+        return u8(what);
+    }
+
+    private int upTo(int most, String what, int value) throws WireException {
+        if (value > most) {
+            throw bad(fieldAt, "a " + what + " from 0 to " + most + ", got " + value);
         }
-        return roster;
+        return value;
     }
 
     private List<Event.Host> hosts() throws WireException {
--- a/src/test/java/wrenreach/ChoiceTest.java
+++ b/src/test/java/wrenreach/ChoiceTest.java
@@ -256,12 +256,67 @@
         assertThat(sent).isBetween(3, 8);
     }
 
-    @Test void oneFailureAmongFewCallsPacesAsCold() {
+    @Test void twoFailuresAmongFewCallsPaceAsColdButOneDoesNot() {
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.TimedOut());
+        s.end(s.send(), new Outcome.Unreached());
+        assertThat(s.to.routes.get(0).cold).isFalse();
+        s.end(s.turn(2000).get(0), new Outcome.Unreached());
+        assertThat(s.to.routes.get(0).cold).isTrue();
+    }
+
+    @Test void fullsCountAsShutOnlyAfterAWhileWithoutARelay() {
+        s.endpoint(1, 0);
+        s.to.routes.get(0).relayedAt = s.now;
+        s.to.routes.get(0).deferredRun = 9;
+        s.end(s.send(), new Outcome.Full(0));
+        assertThat(s.to.routes.get(0).cold).isFalse();
+        s.end(s.turn(6000).get(0), new Outcome.Full(0));
         assertThat(s.to.routes.get(0).cold).isTrue();
     }
 
+    @Test void littleReportedAllowanceLowersThePaceToTheEvenPart() {
+        s.weight = 10;
+        s.endpoint(1, 0);
+        Connect c = s.send();
+        s.choice().ended(c, new Outcome.Relayed(), new double[] {0.05, 10}, true, s.now);
+        int sent = 0;
+        for (int i = 0; i < 20; i++) {
+            s.mail(null);
+            sent += s.turn(100).size();
+        }
+        // 2 s at half of 10 a second, and a burst of a part of a second.
+        assertThat(sent).isBetween(3, 13);
+    }
+
+    @Test void aMailThatComesWithLittleTimeCountsAsInTime() {
+        Mail m = new Mail(99, s.to, null, 0, 0, s.now, s.now + 1000 * Setup.MS);
+        s.choice().admit(m, s.now);
+        assertThat(m.dueBy).isEqualTo(m.endsBy);
+    }
+
+    @Test void aMailThatMayRunOnlyOnceIsCutOffLate() {
+        s.effect = Effect.ONCE_ONLY;
+        s.endpoint(1, 0);
+        Connect c = s.send();
+        assertThat(c.cutAt - c.sentAt).isEqualTo(14_000 * Setup.MS);
+    }
+
+    @Test void theOldestOverdueCallIsCalledOffWhenNoSlotIsFree() {
+        s.effect = Effect.ONCE_ONLY;
+        s.slots = 2;
+        s.endpoint(1, 0);
+        Connect c = s.send();
+        Destination other = new Destination(2);
+        s.choice().listed(new Listing(Listing.Scope.CHANGES, List.of(new Listing.Entry(
+                new Endpoint(9, other, 0, 0), Listing.State.READY, 1000))), s.now);
+        s.mail(other, null);
+        s.turn(100);
+        s.turn(3000);
+        assertThat(s.ever(Answer.Revoke.class)).extracting(Answer.Revoke::connect).containsExactly(c);
+        s.end(c, new Outcome.CalledOff());
+        assertThat(breaker().failedRun).as("counts as timed out").isEqualTo(1);
+    }
+
     @Test void refusalsLowerThePaceAndTimeRaisesIt() {
         s.endpoint(1, 0);
         s.end(s.send(), new Outcome.Full(0));
