--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -27,18 +27,21 @@
     private static final long NEVER = Long.MAX_VALUE;
     private static final long SECOND = 1_000_000;
 
-    // Breaker: the design's defaults, and what it leaves open.
+    // Breaker: the design's run, trials and aging. Fewer than 8 where a route sees fewer than 16 calls in the
+    // ring's span; three is the least that a stray failure or two can't make.
     private static final int RUN = 8;
     private static final int LEAST_RUN = 3;
     private static final int TRIALS = 2;
-    private static final double REST_SHARE = 0.3;
     private static final long FORGET = 60 * SECOND;
+    private static final double REST_SHARE = 0.3;
+    // Shares of the ring's outcomes: an outage is most calls failing; parking wants near certainty.
     private static final int RING = 8;
     private static final double FAILS_MOSTLY = 0.75;
     private static final double FAILS_OFTEN = 0.5;
     private static final int SUSPECT_RUN = 2;
     private static final int SHUT_RUN = 4;
-    // Ratios to the target delay.
+    // Ratios to the target delay: worth is lost on that scale. Rest and cut-off leave time for another try
+    // within it; burst is what a receiver's short queue takes; the share regains slower than bursts come.
     private static final double RING_SPAN = 2;
     private static final double REST = 0.3;
     private static final double CUT = 0.6;
@@ -47,22 +50,38 @@
     private static final double BURST = 0.15;
     private static final double REGAIN = 12;
     private static final double HEARTBEAT = 0.04;
-    // Ratios to a route's usual time.
+    // Ratios to a route's usual time: one call in some hundred takes over 6 times the mean where times spread
+    // as an exponential does or somewhat wider; two places keep one busy while the other is on its way.
     private static final double CUT_USUAL = 8;
     private static final double CUT_HUNG = 6;
     private static final double OVERDUE = 6;
     private static final double PLACES = 2;
-    private static final double LEARN = 0.03;
-    private static final double LEARN_RECENT = 0.3;
     private static final double CLIP = 3;
     private static final double SLOWED = 4;
-    // Pace.
+    // Weights of a new sample: the usual time must outlast a slow spell, the recent one must see it.
+    private static final double LEARN = 0.03;
+    private static final double LEARN_RECENT = 0.3;
+    private static final double LEARN_LIMIT = 0.2;
+    private static final int FIRST_LEARNT = 4;
+    // Pace: parts of a route's limit, and of its reported allowance.
     private static final double BACK_OFF = 0.7;
+    private static final double LEAST_SHARE = 0.5;
     private static final double SCARCE = 0.15;
     private static final double PLENTY = 0.65;
-    private static final double LEAST_SHARE = 0.5;
+    private static final int DOUBLINGS = 3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
+    // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
+    private static final int LANE_PART = 3;
+    private static final int ROOM_PART = 16;
+    private static final int ASK_PART = 8;
+    // Endpoint order, in calls out: a call to join first, shunned ones last, then the last tried, cold
+    // connections, other zones.
+    private static final double JOIN = -50;
+    private static final double SHUN = 100;
+    private static final double TRIED = 5;
+    private static final double NEW_CONNECTION = 2;
+    private static final double OTHER_ZONE = 1;
 
     private final int nodes;
     private final int me;
@@ -112,7 +131,7 @@
         seed = s.seed();
         tick = s.tick();
         slots = Math.max(1, s.outLimit());
-        lane = Math.max(1, slots / 3);
+        lane = Math.max(1, slots / LANE_PART);
         heldLimit = s.heldLimit();
         tries = s.connectLimit();
         copies = s.copiesAllowed();
@@ -120,7 +139,7 @@
         retryAfterLimit = s.retryAfterTold() ? s.retryAfterLimit() : 0;
         idleFor = s.connectionIdle();
         listOnRequest = s.listOnRequest();
-        askEvery = s.listAskWithin() / 8;
+        askEvery = s.listAskWithin() / ASK_PART;
         overShareImportance = s.overShareImportance();
         leftAt = s.allowanceLeftAt();
         rateAt = s.allowanceRateAt();
@@ -157,7 +176,7 @@
         long wait = expectedWait(mail.to, mail.to.line.size() - 1, now);
         if (now + wait + usualOf(mail.to) > mail.endsBy) {
             end(mail, wait, now);
-        } else if (held > heldLimit - Math.max(1, heldLimit / 16)) {
+        } else if (held > heldLimit - Math.max(1, heldLimit / ROOM_PART)) {
             makeRoom(now);
         }
         return take();
@@ -390,8 +409,9 @@
             if (!maySend(m, e, now) || !joins(e, now) && !admits(e, now)) {
                 continue;
             }
-            double cost = e.out + (idle(e, now) ? 0 : 2) + (e.zone == zone ? 0 : 1)
-                    + (shunned(e, now) ? 100 : 0) + (lastAt(m) == e ? 5 : 0) + (joins(e, now) ? -50 : 0);
+            double cost = e.out + (idle(e, now) ? 0 : NEW_CONNECTION) + (e.zone == zone ? 0 : OTHER_ZONE)
+                    + (shunned(e, now) ? SHUN : 0) + (lastAt(m) == e ? TRIED : 0)
+                    + (joins(e, now) ? JOIN : 0);
             if (cost < least) {
                 least = cost;
                 best = e;
@@ -560,8 +580,8 @@
 
     /**
      * Guards the slots where calls with a late cut-off hang at once at many receivers: when no slot is free,
-     * the oldest call past the ordinary cut-off is called off, and counts as timed out. Harm: its mails may be
-     * lost.
+     * the oldest call past the ordinary cut-off is called off, and counts as timed out. Harm: its mails may
+     * be lost.
      */
     private void callOffOldest(long now) {
         Call oldest = null;
@@ -629,7 +649,7 @@
 
     private void hear(Route r, double[] report, long now) {
         if (rateAt >= 0 && rateAt < report.length && report[rateAt] > 0) {
-            r.limit = r.limitSeen ? r.limit + 0.2 * (report[rateAt] - r.limit) : report[rateAt];
+            r.limit = r.limitSeen ? r.limit + LEARN_LIMIT * (report[rateAt] - r.limit) : report[rateAt];
             r.limitSeen = true;
         }
         if (leftAt >= 0 && leftAt < report.length) {
@@ -694,7 +714,7 @@
             r.share = Math.max(LEAST_SHARE / nodes, share(r, now) * BACK_OFF);
             r.shareAt = now;
         }
-        double gap = r.usual * Math.scalb(1.0, Math.min(r.deferredRun, 4) - 1);
+        double gap = r.usual * Math.scalb(1.0, Math.min(r.deferredRun - 1, DOUBLINGS));
         r.heldUntil = Math.max(r.heldUntil, wait > 0 ? 0 : now + (long) Math.min(target, gap));
         if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > SHUT_AFTER * target) {
             r.cold = true;
@@ -899,7 +919,7 @@
             Route r = new Route(name, e.kind, RING, (long) (RING_SPAN * target / RING));
             r.usual = FIRST_USUAL * target;
             r.recent = r.usual;
-            r.learnt = 4;
+            r.learnt = FIRST_LEARNT;
             r.share = 1;
             r.tokens = 1;
             e.to.routes.add(r);
