--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -69,6 +69,7 @@
     private static final double SCARCE = 0.15;
     private static final double PLENTY = 0.65;
     private static final int DOUBLINGS = 3;
+    private static final double FEW = 3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
@@ -611,7 +612,9 @@
     }
 
     private double share(Route r, long now) {
-        double grown = Math.min(1, r.share + (now - r.shareAt) / (REGAIN * target));
+        // Guards a limit shared by many: their regained shares add up, so each regains slower the more they are.
+        double pace = Math.min(1, FEW / nodes) / (REGAIN * target);
+        double grown = Math.min(1, r.share + (now - r.shareAt) * pace);
         // Guards a limit shared by many nodes that see few refusals each: as the reported allowance runs low,
         // all fall back to their even part. Harm: where it counts by spans, the end of a span looks scarce.
         if (r.limitSeen && now - r.leftAt < target) {
