--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -612,7 +612,7 @@
     }
 
     private double share(Route r, long now) {
-        // Guards a limit shared by many: their regained shares add up, so each regains slower the more they are.
+        // Guards a limit shared by many: regained shares add up, so each regains slower the more they are.
         double pace = Math.min(1, FEW / nodes) / (REGAIN * target);
         double grown = Math.min(1, r.share + (now - r.shareAt) * pace);
         // Guards a limit shared by many nodes that see few refusals each: as the reported allowance runs low,
