--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -43,7 +43,7 @@
     // Ratios to the target delay: worth is lost on that scale. Rest and cut-off leave time for another try
     // within it; burst is what a receiver's short queue takes; the share regains slower than bursts come.
     private static final double RING_SPAN = 2;
-    private static final double REST = 0.3;
+    private static final double REST = 0.4;
     private static final double CUT = 0.6;
     private static final double SHUT_AFTER = 1.5;
     private static final double FIRST_USUAL = 0.1;
