--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -72,6 +72,9 @@
     private static final double FEW = 3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
+    // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
+    private static final double KEEP = 0.5;
+    private static final int CAPS_MET = 2;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
     private static final int ROOM_PART = 16;
@@ -107,6 +110,7 @@
     private final double[] quota;
     private final double[] quotaTokens;
     private final long[] quotaAt;
+    private final int[] capsMet;
     private final double coldFrom;
     private final long coldFor;
     private final double overload;
@@ -146,6 +150,7 @@
         rateAt = s.allowanceRateAt();
         classes = s.classes();
         kinds = s.kinds();
+        capsMet = new int[kinds.size()];
         quota = s.tenants().stream().mapToDouble(t -> t.quotaPerSecond() / s.nodes()).toArray();
         quotaTokens = quota.clone();
         quotaAt = new long[quota.length];
@@ -518,6 +523,8 @@
             slotsOut++;
             r.tokens--;
             r.sent.add(now);
+            e.gap = now - e.usedAt;
+            e.usedAt = now;
             e.idle.pollLast();
         }
         call.size++;
@@ -549,11 +556,24 @@
             c.endpoint.route.calls.remove(c.call);
             if (outcome instanceof Outcome.Relayed || outcome instanceof Outcome.Erred
                     || outcome instanceof Outcome.Full) {
-                c.endpoint.idle.addLast(now);
+                keepOrRelease(c.endpoint, now);
             }
         }
     }
 
+    /**
+     * Guards endpoints that take few connections, idle ones counted, from many nodes: an idle one is given back
+     * unless this node's last two sends there were close. Harm: a handshake for each mail of a returning rush.
+     */
+    private void keepOrRelease(Endpoint e, long now) {
+        if (e.gap < KEEP * idleFor * (e.kind < kinds.size() && capsMet[e.kind] >= CAPS_MET ? SCARCE : 1)) {
+            e.idle.addLast(now);
+        } else {
+            e.idle.clear();
+            answers.add(new Answer.Release(e));
+        }
+    }
+
     // ---- Cut-off ----
 
     /**
@@ -672,6 +692,9 @@
             return;
         }
         c.call.counted = true;
+        if (outcome instanceof Outcome.Unreached) {
+            r.unreachedAt = now;
+        }
         if (outcome instanceof Outcome.Relayed) {
             relayed(r, c, now);
         } else if (outcome instanceof Outcome.Full full) {
@@ -690,6 +713,9 @@
 
     private void relayed(Route r, Connect c, long now) {
         r.relayed.add(now);
+        if (r.unreachedAt < c.sentAt && now - r.unreachedAt < target / 2 && r.kind < kinds.size()) {
+            capsMet[r.kind]++;
+        }
         r.relayedAt = now;
         r.deferredRun = 0;
         r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(now - c.sentAt, CLIP * r.usual) - r.usual);
--- a/src/main/java/wrenreach/state/Endpoint.java
+++ b/src/main/java/wrenreach/state/Endpoint.java
@@ -18,6 +18,8 @@
     public long relayedAt;
     public int cap = Integer.MAX_VALUE;
     public long capAt;
+    public long usedAt = Long.MIN_VALUE / 2;
+    public long gap;
     /** When each idle connection was last used, latest last. */
     public final Deque<Long> idle = new ArrayDeque<>(4);
 
