--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -73,7 +73,7 @@
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
-    private static final double KEEP = 0.5;
+    private static final double KEEP = 0.1;
     private static final int CAPS_MET = 2;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
@@ -562,11 +562,11 @@
     }
 
     /**
-     * Guards endpoints that take few connections, idle ones counted, from many nodes: an idle one is given back
-     * unless this node's last two sends there were close. Harm: a handshake for each mail of a returning rush.
+     * Guards endpoints that take few connections, idle ones counted, from many nodes: where a kind has shown
+     * such a cap, an idle one is given back unless this node's last two sends there were close. Harm: a handshake for each mail of a returning rush.
      */
     private void keepOrRelease(Endpoint e, long now) {
-        if (e.gap < KEEP * idleFor * (e.kind < kinds.size() && capsMet[e.kind] >= CAPS_MET ? SCARCE : 1)) {
+        if (e.kind >= kinds.size() || capsMet[e.kind] < CAPS_MET || e.gap < KEEP * idleFor) {
             e.idle.addLast(now);
         } else {
             e.idle.clear();
@@ -713,7 +713,7 @@
 
     private void relayed(Route r, Connect c, long now) {
         r.relayed.add(now);
-        if (r.unreachedAt < c.sentAt && now - r.unreachedAt < target / 2 && r.kind < kinds.size()) {
+        if (r.unreachedAt < c.sentAt && now - r.unreachedAt < FIRST_USUAL * target + c.endpoint.route.usual && r.kind < kinds.size()) {
             capsMet[r.kind]++;
         }
         r.relayedAt = now;
