--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -74,7 +74,7 @@
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
     private static final double KEEP = 0.1;
-    private static final int CAPS_MET = 2;
+    private static final int CAPS_MET = 1;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
     private static final int ROOM_PART = 16;
@@ -713,7 +713,7 @@
 
     private void relayed(Route r, Connect c, long now) {
         r.relayed.add(now);
-        if (r.unreachedAt < c.sentAt && now - r.unreachedAt < FIRST_USUAL * target + c.endpoint.route.usual && r.kind < kinds.size()) {
+        if (r.unreachedAt < c.sentAt && !c.trial && now - r.unreachedAt < target && r.kind < kinds.size()) {
             capsMet[r.kind]++;
         }
         r.relayedAt = now;
