--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -74,7 +74,8 @@
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
     private static final double KEEP = 0.1;
-    private static final int CAPS_MET = 1;
+    // Relays without an unreached connect after which a kind is taken to accept any number of connections.
+    private static final int ROOMY = 16;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
     private static final int ROOM_PART = 16;
@@ -110,7 +111,7 @@
     private final double[] quota;
     private final double[] quotaTokens;
     private final long[] quotaAt;
-    private final int[] capsMet;
+    private final int[] roomy;
     private final double coldFrom;
     private final long coldFor;
     private final double overload;
@@ -150,7 +151,7 @@
         rateAt = s.allowanceRateAt();
         classes = s.classes();
         kinds = s.kinds();
-        capsMet = new int[kinds.size()];
+        roomy = new int[kinds.size()];
         quota = s.tenants().stream().mapToDouble(t -> t.quotaPerSecond() / s.nodes()).toArray();
         quotaTokens = quota.clone();
         quotaAt = new long[quota.length];
@@ -566,7 +567,7 @@
      * such a cap, an idle one is given back unless this node's last two sends there were close. Harm: a handshake for each mail of a returning rush.
      */
     private void keepOrRelease(Endpoint e, long now) {
-        if (e.kind >= kinds.size() || capsMet[e.kind] < CAPS_MET || e.gap < KEEP * idleFor) {
+        if (e.gap < KEEP * idleFor || e.kind < kinds.size() && roomy[e.kind] >= ROOMY) {
             e.idle.addLast(now);
         } else {
             e.idle.clear();
@@ -692,8 +693,8 @@
             return;
         }
         c.call.counted = true;
-        if (outcome instanceof Outcome.Unreached) {
-            r.unreachedAt = now;
+        if (outcome instanceof Outcome.Unreached && !c.trial && r.kind < kinds.size()) {
+            roomy[r.kind] = Math.max(-DOUBLINGS * ROOMY, roomy[r.kind] - ROOMY);
         }
         if (outcome instanceof Outcome.Relayed) {
             relayed(r, c, now);
@@ -713,8 +714,8 @@
 
     private void relayed(Route r, Connect c, long now) {
         r.relayed.add(now);
-        if (r.unreachedAt < c.sentAt && !c.trial && now - r.unreachedAt < target && r.kind < kinds.size()) {
-            capsMet[r.kind]++;
+        if (r.kind < kinds.size()) {
+            roomy[r.kind] = Math.min(ROOMY, roomy[r.kind] + 1);
         }
         r.relayedAt = now;
         r.deferredRun = 0;
--- a/src/main/java/wrenreach/state/Route.java
+++ b/src/main/java/wrenreach/state/Route.java
@@ -30,7 +30,6 @@
     public int learnt;
     public long usedAt;
     public long relayedAt;
-    public long unreachedAt = Long.MIN_VALUE / 2;
     public boolean cold;
     public long warmsFrom;
     public int endpoints;
