--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -180,6 +180,9 @@
             mail.key.mails.addLast(mail);
         }
         mail.to.line.add(mail);
+        for (Route r : mail.to.routes) {
+            r.came.add(now);
+        }
         long wait = expectedWait(mail.to, mail.to.line.size() - 1, now);
         if (now + wait + usualOf(mail.to) > mail.endsBy) {
             end(mail, wait, now);
@@ -632,6 +635,16 @@
         return r.weight > 0 ? r.weight : SECOND * slots * nodes / r.usual / Math.max(1, destinations.size());
     }
 
+    /**
+     * This node's part of a route that all use: the even one, or what lately came here for it against its limit.
+     * Guards sparse nodes among many, whose even part is one mail in minutes: those with mails now share the
+     * limit, those without leave theirs. Harm: where all get more than the limit, so do the parts.
+     */
+    private double part(Route r, long now) {
+        double came = r.came.sum(now) / (RING_SPAN * target) * SECOND;
+        return Math.min(1, Math.max(1.0 / nodes, came / limit(r)));
+    }
+
     private double share(Route r, long now) {
         // Guards a limit shared by many: regained shares add up, so each regains slower the more they are.
         double pace = Math.min(1, FEW / nodes) / (REGAIN * target);
@@ -639,7 +652,7 @@
         // Guards a limit shared by many nodes that see few refusals each: as the reported allowance runs low,
         // all fall back to their even part. Harm: where it counts by spans, the end of a span looks scarce.
         if (r.limitSeen && now - r.leftAt < target) {
-            double even = 1.0 / nodes;
+            double even = part(r, now);
             double plenty = Math.max(0, Math.min(1, (r.left - SCARCE) / (PLENTY - SCARCE)));
             grown = Math.min(grown, even + (1 - even) * plenty);
         }
@@ -654,7 +667,7 @@
         if (r.cold) {
             double warm = r.warmsFrom == NEVER ? 0 : (double) (now - r.warmsFrom) / (WARMS * coldFor);
             double can = limit(r) * (coldFrom + (1 - coldFrom) * warm);
-            pace = Math.min(pace, overload * can / nodes);
+            pace = Math.min(pace, overload * can * part(r, now));
         }
         return pace;
     }
@@ -741,7 +754,7 @@
         r.deferred.add(now);
         r.deferredRun++;
         if (now - r.shareAt > r.usual) {
-            r.share = Math.max(LEAST_SHARE / nodes, share(r, now) * BACK_OFF);
+            r.share = Math.max(LEAST_SHARE * part(r, now), share(r, now) * BACK_OFF);
             r.shareAt = now;
         }
         double gap = r.usual * Math.scalb(1.0, Math.min(r.deferredRun - 1, DOUBLINGS));
--- a/src/main/java/wrenreach/state/Route.java
+++ b/src/main/java/wrenreach/state/Route.java
@@ -9,6 +9,7 @@
     public final int kind;
     public final Breaker breaker = new Breaker();
     public final List<Call> calls = new ArrayList<>();
+    public final BucketRing came;
     public final BucketRing relayed;
     public final BucketRing failed;
     public final BucketRing timedOut;
@@ -37,6 +38,7 @@
     public Route(String name, int kind, int buckets, long width) {
         this.name = name;
         this.kind = kind;
+        came = new BucketRing(buckets, width);
         relayed = new BucketRing(buckets, width);
         failed = new BucketRing(buckets, width);
         timedOut = new BucketRing(buckets, width);
