--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -641,7 +641,7 @@
      * limit, those without leave theirs. Harm: where all get more than the limit, so do the parts.
      */
     private double part(Route r, long now) {
-        double came = r.came.sum(now) / (RING_SPAN * target) * SECOND;
+        double came = (r.came.sum(now) + 1) / (RING_SPAN * target) * SECOND;
         return Math.min(1, Math.max(1.0 / nodes, came / limit(r)));
     }
 
