--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -34,6 +34,7 @@
     private static final int TRIALS = 2;
     private static final long FORGET = 60 * SECOND;
     private static final double REST_SHARE = 0.3;
+    private static final double TRIAL_FILL = 1.0;
     // Shares of the ring's outcomes: an outage is most calls failing; parking wants near certainty.
     private static final int RING = 8;
     private static final double FAILS_MOSTLY = 0.75;
@@ -767,6 +768,9 @@
 
     private void failed(Route r, Connect c, Outcome outcome, long now) {
         r.failed.add(now);
+        if (r.downSince <= r.relayedAt) {
+            r.downSince = now;
+        }
         if (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.CalledOff) {
             r.timedOut.add(now);
         }
@@ -805,7 +809,7 @@
         b.openedAt = now;
         // Guards against a healed destination left waiting while its mails turn late: a trial risks one mail
         // only, so the rest is a part of the target delay, not 5 s. Harm: more trials meet a silent receiver.
-        b.restsUntil = now + (long) (REST * target * (1 + REST_SHARE * chance(b.openedAt)));
+        b.restsUntil = now + (long) (rest(r, now) * (1 + REST_SHARE * chance(b.openedAt)));
         b.trialRun = 0;
         b.failedRun = 0;
         r.cold = true;
@@ -813,6 +817,15 @@
         note(r, before + " by " + outcome.getClass().getSimpleName());
     }
 
+    /**
+     * Guards a cold receiver against the trials of many nodes: those that by now may have a mail for it, at most
+     * all, together bring no more than it can do when it returns. Harm: a long outage ends late at sparse nodes.
+     */
+    private double rest(Route r, long now) {
+        double waiting = Math.min(nodes, limit(r) * (now - r.downSince) / SECOND);
+        return Math.max(REST * target, TRIAL_FILL * SECOND * waiting / (overload * coldFrom * limit(r)));
+    }
+
     private boolean breakerLets(Route r, long now) {
         Breaker b = r.breaker;
         if (b.phase != Breaker.Phase.CLOSED && now - r.usedAt > FORGET) {
