--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -75,8 +75,7 @@
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
     private static final double KEEP = 0.1;
-    // Relays without an unreached connect after which a kind is taken to accept any number of connections.
-    private static final int ROOMY = 16;
+    // (A kind is taken to accept any number after as many relays without an unreached connect as nodes use it.)
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
     private static final int ROOM_PART = 16;
@@ -571,7 +570,7 @@
      * such a cap, an idle one is given back unless this node's last two sends there were close. Harm: a handshake for each mail of a returning rush.
      */
     private void keepOrRelease(Endpoint e, long now) {
-        if (e.gap < KEEP * idleFor || e.kind < kinds.size() && roomy[e.kind] >= ROOMY) {
+        if (e.gap < KEEP * idleFor || e.kind < kinds.size() && roomy[e.kind] >= nodes) {
             e.idle.addLast(now);
         } else {
             e.idle.clear();
@@ -708,7 +707,7 @@
         }
         c.call.counted = true;
         if (outcome instanceof Outcome.Unreached && !c.trial && r.kind < kinds.size()) {
-            roomy[r.kind] = Math.max(-DOUBLINGS * ROOMY, roomy[r.kind] - ROOMY);
+            roomy[r.kind] = Math.max(-nodes, roomy[r.kind] - nodes);
         }
         if (outcome instanceof Outcome.Relayed) {
             relayed(r, c, now);
@@ -729,7 +728,7 @@
     private void relayed(Route r, Connect c, long now) {
         r.relayed.add(now);
         if (r.kind < kinds.size()) {
-            roomy[r.kind] = Math.min(ROOMY, roomy[r.kind] + 1);
+            roomy[r.kind] = Math.min(nodes, roomy[r.kind] + 1);
         }
         r.relayedAt = now;
         r.deferredRun = 0;
