--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -75,7 +75,6 @@
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
     private static final double KEEP = 0.1;
-    private static final double KEEP_UNPROVEN = 0.5;
     // (A kind is taken to accept any number after as many relays without an unreached connect as nodes use it.)
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
@@ -571,8 +570,7 @@
      * such a cap, an idle one is given back unless this node's last two sends there were close. Harm: a handshake for each mail of a returning rush.
      */
     private void keepOrRelease(Endpoint e, long now) {
-        int seen = e.kind < kinds.size() ? roomy[e.kind] : 0;
-        if (seen >= nodes || e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * idleFor) {
+        if (e.gap < KEEP * idleFor || e.kind < kinds.size() && roomy[e.kind] >= nodes) {
             e.idle.addLast(now);
         } else {
             e.idle.clear();
