--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -69,7 +69,7 @@
     private static final double LEAST_SHARE = 0.5;
     private static final double SCARCE = 0.15;
     private static final double PLENTY = 0.65;
-    private static final int DOUBLINGS = 6;
+    private static final int DOUBLINGS = 3;
     private static final double FEW = 3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
@@ -758,7 +758,7 @@
             r.shareAt = now;
         }
         double gap = r.usual * Math.scalb(1.0, Math.min(r.deferredRun - 1, DOUBLINGS));
-        r.heldUntil = Math.max(r.heldUntil, wait > 0 ? 0 : now + (long) Math.min(2 * target, gap));
+        r.heldUntil = Math.max(r.heldUntil, wait > 0 ? 0 : now + (long) Math.min(target, gap));
         if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > SHUT_AFTER * target) {
             r.cold = true;
             r.warmsFrom = NEVER;
