--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -44,6 +44,7 @@
     // Ratios to the target delay: worth is lost on that scale. Rest and cut-off leave time for another try
     // within it; burst is what a receiver's short queue takes; the share regains slower than bursts come.
     private static final double RING_SPAN = 2;
+    private static final double CAME_SPAN = 6;
     private static final double REST = 0.4;
     private static final double CUT = 0.6;
     private static final double SHUT_AFTER = 1.5;
@@ -641,7 +642,7 @@
      * limit, those without leave theirs. Harm: where all get more than the limit, so do the parts.
      */
     private double part(Route r, long now) {
-        double came = (r.came.sum(now) + 1) / (RING_SPAN * target) * SECOND;
+        double came = Math.max(1 / RING_SPAN, r.came.sum(now) / CAME_SPAN) / target * SECOND;
         return Math.min(1, Math.max(1.0 / nodes, came / limit(r)));
     }
 
@@ -971,7 +972,7 @@
         boolean apart = e.kind < kinds.size() && kinds.get(e.kind).routesApart();
         if (apart || e.to.routes.isEmpty()) {
             String name = "destination " + e.to.number + (apart ? " route " + e.to.routes.size() : "");
-            Route r = new Route(name, e.kind, RING, (long) (RING_SPAN * target / RING));
+            Route r = new Route(name, e.kind, RING, (long) (RING_SPAN * target / RING), (long) (CAME_SPAN * target / RING));
             r.usual = FIRST_USUAL * target;
             r.recent = r.usual;
             r.learnt = FIRST_LEARNT;
--- a/src/main/java/wrenreach/state/Route.java
+++ b/src/main/java/wrenreach/state/Route.java
@@ -36,10 +36,10 @@
     public long warmsFrom;
     public int endpoints;
 
-    public Route(String name, int kind, int buckets, long width) {
+    public Route(String name, int kind, int buckets, long width, long cameWidth) {
         this.name = name;
         this.kind = kind;
-        came = new BucketRing(buckets, width);
+        came = new BucketRing(buckets, cameWidth);
         relayed = new BucketRing(buckets, width);
         failed = new BucketRing(buckets, width);
         timedOut = new BucketRing(buckets, width);
