--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -755,7 +755,7 @@
         r.deferred.add(now);
         r.deferredRun++;
         if (now - r.shareAt > r.usual) {
-            r.share = Math.max(LEAST_SHARE * part(r, now), share(r, now) * BACK_OFF);
+            r.share = Math.max(LEAST_SHARE * part(r, now), Math.min(share(r, now), 2 * part(r, now)) * BACK_OFF);
             r.shareAt = now;
         }
         double gap = r.usual * Math.scalb(1.0, Math.min(r.deferredRun - 1, DOUBLINGS));
