--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -642,7 +642,7 @@
      * limit, those without leave theirs. Harm: where all get more than the limit, so do the parts.
      */
     private double part(Route r, long now) {
-        double came = Math.max(1 / RING_SPAN, r.came.sum(now) / CAME_SPAN) / target * SECOND;
+        double came = (1 / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
         return Math.min(1, Math.max(1.0 / nodes, came / limit(r)));
     }
 
@@ -754,7 +754,7 @@
     private void deferred(Route r, long wait, long now) {
         r.deferred.add(now);
         r.deferredRun++;
-        if (now - r.shareAt > r.usual) {
+        if (now - r.shareAt > r.usual && r.deferred.sum(now) > r.relayed.sum(now)) {
             r.share = Math.max(LEAST_SHARE * part(r, now), Math.min(share(r, now), 2 * part(r, now)) * BACK_OFF);
             r.shareAt = now;
         }
