--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -643,7 +643,8 @@
      */
     private double part(Route r, long now) {
         double came = (1 / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
-        return Math.min(1, Math.max(1.0 / nodes, came / limit(r)));
+        double taken = r.relayed.sum(now) + 1;
+        return Math.min(1, Math.max(1.0 / nodes, came / limit(r)) * taken / (taken + r.deferred.sum(now)));
     }
 
     private double share(Route r, long now) {
@@ -754,7 +755,7 @@
     private void deferred(Route r, long wait, long now) {
         r.deferred.add(now);
         r.deferredRun++;
-        if (now - r.shareAt > r.usual && r.deferred.sum(now) > r.relayed.sum(now)) {
+        if (now - r.shareAt > r.usual) {
             r.share = Math.max(LEAST_SHARE * part(r, now), Math.min(share(r, now), 2 * part(r, now)) * BACK_OFF);
             r.shareAt = now;
         }
