--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -718,13 +718,15 @@
         } else if (outcome instanceof Outcome.Unreached && atCap(c.endpoint, now)) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
+            pause(r, now);
         } else if (!(outcome instanceof Outcome.NotSent)) {
             failed(r, c, outcome, now);
         }
     }
 
     private boolean atCap(Endpoint e, long now) {
-        return e.out > 0 && e.failedRun == 0 && now - e.relayedAt < target / 2;
+        int seen = e.kind < kinds.size() ? roomy[e.kind] : 0;
+        return seen < nodes && now - e.route.relayedAt < target;
     }
 
     private void relayed(Route r, Connect c, long now) {
@@ -754,19 +756,22 @@
 
     private void deferred(Route r, long wait, long now) {
         r.deferred.add(now);
-        r.deferredRun++;
         if (now - r.shareAt > r.usual) {
             r.share = Math.max(LEAST_SHARE * part(r, now), Math.min(share(r, now), 2 * part(r, now)) * BACK_OFF);
             r.shareAt = now;
         }
-        double gap = r.usual * Math.scalb(1.0, Math.min(r.deferredRun - 1, DOUBLINGS));
-        r.heldUntil = Math.max(r.heldUntil, wait > 0 ? 0 : now + (long) Math.min(target, gap));
+        pause(r, wait > 0 ? now - target : now);
         if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > SHUT_AFTER * target) {
             r.cold = true;
             r.warmsFrom = NEVER;
         }
     }
 
+    private void pause(Route r, long now) {
+        double gap = r.usual * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS));
+        r.heldUntil = Math.max(r.heldUntil, now + (long) Math.min(target, gap));
+    }
+
     private void failed(Route r, Connect c, Outcome outcome, long now) {
         r.failed.add(now);
         if (r.downSince <= r.relayedAt) {
