--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -663,7 +663,7 @@
 
     private double pace(Route r, long now) {
         // Guards a sparse node's only mail, whose lowered share would outlast it. Harm: many nodes' floors add up.
-        double pace = Math.max(limit(r) * share(r, now), SECOND / (RING_SPAN * target));
+        double pace = Math.max(limit(r) * share(r, now), SECOND / (0.2 * target));
         if (r.cold && r.warmsFrom != NEVER && now >= r.warmsFrom + coldFor) {
             r.cold = false;
         }
