--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -68,6 +68,7 @@
     // Pace: parts of a route's limit, and of its reported allowance.
     private static final double BACK_OFF = 0.7;
     private static final double LEAST_SHARE = 0.5;
+    private static final double FLOOR = 0.5;
     private static final double SCARCE = 0.15;
     private static final double PLENTY = 0.65;
     private static final int DOUBLINGS = 3;
@@ -653,17 +654,21 @@
         double grown = Math.min(1, r.share + (now - r.shareAt) * pace);
         // Guards a limit shared by many nodes that see few refusals each: as the reported allowance runs low,
         // all fall back to their even part. Harm: where it counts by spans, the end of a span looks scarce.
-        if (r.limitSeen && now - r.leftAt < target) {
-            double even = part(r, now);
-            double plenty = Math.max(0, Math.min(1, (r.left - SCARCE) / (PLENTY - SCARCE)));
-            grown = Math.min(grown, even + (1 - even) * plenty);
+        double even = part(r, now);
+        return Math.min(grown, even + (1 - even) * plenty(r, now));
+    }
+
+    /** From 1 where allowance is left, or no report of late tells, to 0 where there is none. */
+    private double plenty(Route r, long now) {
+        if (!r.limitSeen || now - r.leftAt > RING_SPAN * target) {
+            return 1;
         }
-        return grown;
+        return Math.max(0, Math.min(1, (r.left - SCARCE) / (PLENTY - SCARCE)));
     }
 
     private double pace(Route r, long now) {
         // Guards a sparse node's only mail, whose lowered share would outlast it. Harm: many nodes' floors add up.
-        double pace = Math.max(limit(r) * share(r, now), SECOND / (0.2 * target));
+        double pace = Math.max(limit(r) * share(r, now), plenty(r, now) * SECOND / (FLOOR * target));
         if (r.cold && r.warmsFrom != NEVER && now >= r.warmsFrom + coldFor) {
             r.cold = false;
         }
@@ -756,12 +761,16 @@
     }
 
     private void deferred(Route r, long wait, long now) {
+        pause(r, wait > 0 ? now - target : now);
+        // A full that reports allowance left met a moment's rush: a pause is enough.
+        if (r.limitSeen && r.leftAt == now && r.left > SCARCE) {
+            return;
+        }
         r.deferred.add(now);
         if (now - r.shareAt > r.usual) {
             r.share = Math.max(LEAST_SHARE * part(r, now), Math.min(share(r, now), 2 * part(r, now)) * BACK_OFF);
             r.shareAt = now;
         }
-        pause(r, wait > 0 ? now - target : now);
         if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > SHUT_AFTER * target) {
             r.cold = true;
             r.warmsFrom = NEVER;
