--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -4,18 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32;
-import wrenreach.api.Answer;
-import wrenreach.api.Dispatcher;
-import wrenreach.api.Listing;
-import wrenreach.api.Outcome;
-import wrenreach.api.Settings;
-import wrenreach.state.Breaker;
-import wrenreach.state.Call;
-import wrenreach.state.Connect;
-import wrenreach.state.Destination;
-import wrenreach.state.Endpoint;
-import wrenreach.state.Mail;
-import wrenreach.state.Route;
+import wrenreach.api.*;
+import wrenreach.state.*;
 
 /**
  * All decisions of one delivery node. The interface is wrenreach.api.Dispatcher: the host reports events
@@ -77,7 +67,6 @@
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
     private static final double KEEP = 0.1;
-    // (A kind is taken to accept any number after as many relays without an unreached connect as nodes use it.)
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
     private static final int ROOM_PART = 16;
@@ -120,7 +109,9 @@
     private final long orderSettle;
     private final long target;
 
-    private final List<Destination> destinations = new ArrayList<>();
+    private final List<Destination> known = new ArrayList<>();
+    /** Those with mails in line or calls out: all that a turn walks. */
+    private final List<Destination> busy = new ArrayList<>();
     private List<Answer> answers = new ArrayList<>();
     private int held;
     private int slotsOut;
@@ -181,7 +172,7 @@
         if (mail.key != null && kind.inOrder()) {
             mail.key.mails.addLast(mail);
         }
-        mail.to.line.add(mail);
+        wait(mail, mail.to.line.size());
         for (Route r : mail.to.routes) {
             r.came.add(now);
         }
@@ -232,7 +223,7 @@
             return take();
         }
         if (listing.scope() != Listing.Scope.CHANGES) {
-            for (Destination d : destinations) {
+            for (Destination d : known) {
                 d.endpoints.forEach(e -> e.ready = false);
             }
         }
@@ -261,10 +252,11 @@
             callOffOldest(now);
         }
         for (int pass = 0; pass < 2; pass++) {
-            for (int i = 0; i < destinations.size(); i++) {
-                serve(destinations.get((firstServed + i) % destinations.size()), pass == 0, now);
+            for (int i = 0; i < busy.size(); i++) {
+                serve(busy.get((firstServed + i) % busy.size()), pass == 0, now);
             }
         }
+        busy.removeIf(d -> !(d.busy = !d.line.isEmpty() || d.out > 0));
         firstServed++;
         wake(now);
         return take();
@@ -321,7 +313,7 @@
     private void makeRoom(long now) {
         Mail worst = null;
         double most = 0;
-        for (Destination d : destinations) {
+        for (Destination d : busy) {
             long wait = d.line.isEmpty() ? 0 : expectedWait(d, d.line.size(), now);
             for (Mail m : d.line) {
                 double weight = wait * (m.overShare ? 1 / overShareImportance : 1);
@@ -569,7 +561,8 @@
 
     /**
      * Guards endpoints that take few connections, idle ones counted, from many nodes: where a kind has shown
-     * such a cap, an idle one is given back unless this node's last two sends there were close. Harm: a handshake for each mail of a returning rush.
+     * a cap, or not yet let pass as many relays as nodes use it, an idle one is given back unless the last
+     * two sends there were close. Harm: a handshake for each mail of a returning rush.
      */
     private void keepOrRelease(Endpoint e, long now) {
         if (e.gap < KEEP * idleFor || e.kind < kinds.size() && roomy[e.kind] >= nodes) {
@@ -612,7 +605,7 @@
      */
     private void callOffOldest(long now) {
         Call oldest = null;
-        for (Destination d : destinations) {
+        for (Destination d : busy) {
             for (Route r : d.routes) {
                 for (Call call : r.calls) {
                     boolean older = oldest == null || call.sentAt < oldest.sentAt;
@@ -634,7 +627,7 @@
         if (r.limitSeen) {
             return r.limit;
         }
-        return r.weight > 0 ? r.weight : SECOND * slots * nodes / r.usual / Math.max(1, destinations.size());
+        return r.weight > 0 ? r.weight : SECOND * slots * nodes / r.usual / Math.max(1, known.size());
     }
 
     /**
@@ -877,7 +870,7 @@
 
     private int laneOut(long now) {
         int out = 0;
-        for (Destination d : destinations) {
+        for (Destination d : busy) {
             for (Route r : d.routes) {
                 out += sick(r, now) ? r.calls.size() : 0;
             }
@@ -899,7 +892,7 @@
         while (at > 0 && m.to.line.get(at - 1).sequence > m.sequence) {
             at--;
         }
-        m.to.line.add(at, m);
+        wait(m, at);
     }
 
     /** Whether some endpoint may still be sent the mail in the time that its repeats are noticed. */
@@ -914,7 +907,7 @@
     }
 
     private void expire(long now) {
-        for (Destination d : destinations) {
+        for (Destination d : busy) {
             for (int i = d.line.size() - 1; i >= 0; i--) {
                 Mail m = d.line.get(i);
                 if (now + 3 * tick >= m.endsBy || ranMaybe(m) && !repeatable(m, now)) {
@@ -979,8 +972,17 @@
     // ---- List ----
 
     private void know(Destination d) {
-        if (!destinations.contains(d)) {
-            destinations.add(d);
+        if (!d.known) {
+            d.known = true;
+            known.add(d);
+        }
+    }
+
+    private void wait(Mail m, int at) {
+        m.to.line.add(at, m);
+        if (!m.to.busy) {
+            m.to.busy = true;
+            busy.add(m.to);
         }
     }
 
@@ -988,7 +990,8 @@
         boolean apart = e.kind < kinds.size() && kinds.get(e.kind).routesApart();
         if (apart || e.to.routes.isEmpty()) {
             String name = "destination " + e.to.number + (apart ? " route " + e.to.routes.size() : "");
-            Route r = new Route(name, e.kind, RING, (long) (RING_SPAN * target / RING), (long) (CAME_SPAN * target / RING));
+            Route r = new Route(name, e.kind, RING, (long) (RING_SPAN * target / RING),
+                    (long) (CAME_SPAN * target / RING));
             r.usual = FIRST_USUAL * target;
             r.recent = r.usual;
             r.learnt = FIRST_LEARNT;
--- a/src/main/java/wrenreach/state/Destination.java
+++ b/src/main/java/wrenreach/state/Destination.java
@@ -10,6 +10,8 @@
     public final List<Route> routes = new ArrayList<>(4);
     public final List<Mail> line = new ArrayList<>();
     public int out;
+    public boolean known;
+    public boolean busy;
 
     public Destination(int number) {
         this.number = number;
