--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -253,7 +253,7 @@
         }
         for (int pass = 0; pass < 2; pass++) {
             for (int i = 0; i < busy.size(); i++) {
-                serve(busy.get(busy.size() - 1 - i), pass == 0, now);
+                serve(busy.get((firstServed + i) % busy.size()), pass == 0, now);
             }
         }
         busy.removeIf(d -> !(d.busy = !d.line.isEmpty() || d.out > 0));
