--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -252,9 +252,8 @@
             callOffOldest(now);
         }
         for (int pass = 0; pass < 2; pass++) {
-            int first = (int) (chance(firstServed) * busy.size());
             for (int i = 0; i < busy.size(); i++) {
-                serve(busy.get((first + i) % busy.size()), pass == 0, now);
+                serve(busy.get((firstServed + i) % busy.size()), pass == 0, now);
             }
         }
         busy.removeIf(d -> !(d.busy = !d.line.isEmpty() || d.out > 0));
