--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -67,6 +67,8 @@
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
     private static final double KEEP = 0.1;
+    private static final double KEEP_UNPROVEN = 0.5;
+    private static final int ROOMY = 16;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
     private static final int ROOM_PART = 16;
@@ -144,7 +146,7 @@
         rateAt = s.allowanceRateAt();
         classes = s.classes();
         kinds = s.kinds();
-        roomy = new int[kinds.size()];
+        roomy = new int[kinds.size() + 1];
         quota = s.tenants().stream().mapToDouble(t -> t.quotaPerSecond() / s.nodes()).toArray();
         quotaTokens = quota.clone();
         quotaAt = new long[quota.length];
@@ -565,7 +567,8 @@
      * two sends there were close. Harm: a handshake for each mail of a returning rush.
      */
     private void keepOrRelease(Endpoint e, long now) {
-        if (e.gap < KEEP * idleFor || e.kind < kinds.size() && roomy[e.kind] >= nodes) {
+        int seen = roomy[e.route.kind];
+        if (seen >= ROOMY || e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * idleFor) {
             e.idle.addLast(now);
         } else {
             e.idle.clear();
@@ -707,14 +710,15 @@
             return;
         }
         c.call.counted = true;
-        if (outcome instanceof Outcome.Unreached && !c.trial && r.kind < kinds.size()) {
-            roomy[r.kind] = Math.max(-nodes, roomy[r.kind] - nodes);
+        boolean atCap = outcome instanceof Outcome.Unreached && !c.trial && now - r.relayedAt < target;
+        if (atCap) {
+            roomy[r.kind] = Math.max(-ROOMY, roomy[r.kind] - ROOMY);
         }
         if (outcome instanceof Outcome.Relayed) {
             relayed(r, c, now);
         } else if (outcome instanceof Outcome.Full full) {
             deferred(r, full.pause(), now);
-        } else if (outcome instanceof Outcome.Unreached && atCap(c.endpoint, now)) {
+        } else if (atCap && roomy[r.kind] < ROOMY) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
             pause(r, now);
@@ -723,16 +727,9 @@
         }
     }
 
-    private boolean atCap(Endpoint e, long now) {
-        int seen = e.kind < kinds.size() ? roomy[e.kind] : 0;
-        return seen < nodes && now - e.route.relayedAt < target;
-    }
-
     private void relayed(Route r, Connect c, long now) {
         r.relayed.add(now);
-        if (r.kind < kinds.size()) {
-            roomy[r.kind] = Math.min(nodes, roomy[r.kind] + 1);
-        }
+        roomy[r.kind] = Math.min(ROOMY, roomy[r.kind] + 1);
         r.relayedAt = now;
         r.deferredRun = 0;
         r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(now - c.sentAt, CLIP * r.usual) - r.usual);
@@ -990,7 +987,7 @@
         boolean apart = e.kind < kinds.size() && kinds.get(e.kind).routesApart();
         if (apart || e.to.routes.isEmpty()) {
             String name = "destination " + e.to.number + (apart ? " route " + e.to.routes.size() : "");
-            Route r = new Route(name, e.kind, RING, (long) (RING_SPAN * target / RING),
+            Route r = new Route(name, Math.min(e.kind, kinds.size()), RING, (long) (RING_SPAN * target / RING),
                     (long) (CAME_SPAN * target / RING));
             r.usual = FIRST_USUAL * target;
             r.recent = r.usual;
