--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -67,7 +67,7 @@
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
     private static final double KEEP = 0.1;
-    private static final double KEEP_UNPROVEN = 0.5;
+    private static final double KEEP_UNPROVEN = 1;
     private static final int ROOMY = 16;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
@@ -568,7 +568,7 @@
      */
     private void keepOrRelease(Endpoint e, long now) {
         int seen = roomy[e.route.kind];
-        if (seen >= ROOMY || e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * idleFor) {
+        if (e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * idleFor) {
             e.idle.addLast(now);
         } else {
             e.idle.clear();
@@ -711,7 +711,7 @@
         }
         c.call.counted = true;
         boolean atCap = outcome instanceof Outcome.Unreached && !c.trial && now - r.relayedAt < target;
-        if (atCap) {
+        if (outcome instanceof Outcome.Unreached && !c.trial) {
             roomy[r.kind] = Math.max(-ROOMY, roomy[r.kind] - ROOMY);
         }
         if (outcome instanceof Outcome.Relayed) {
