--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.zip.CRC32;
 import wrenreach.api.*;
@@ -67,8 +68,7 @@
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
     private static final double KEEP = 0.1;
-    private static final double KEEP_UNPROVEN = 1;
-    private static final int ROOMY = 16;
+    private static final int ROOMY = 64;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
     private static final int ROOM_PART = 16;
@@ -147,6 +147,7 @@
         classes = s.classes();
         kinds = s.kinds();
         roomy = new int[kinds.size() + 1];
+        Arrays.fill(roomy, -Math.min(nodes, ROOMY));
         quota = s.tenants().stream().mapToDouble(t -> t.quotaPerSecond() / s.nodes()).toArray();
         quotaTokens = quota.clone();
         quotaAt = new long[quota.length];
@@ -568,7 +569,7 @@
      */
     private void keepOrRelease(Endpoint e, long now) {
         int seen = roomy[e.route.kind];
-        if (e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * idleFor) {
+        if (seen >= 0 || e.gap < KEEP * idleFor) {
             e.idle.addLast(now);
         } else {
             e.idle.clear();
@@ -711,14 +712,14 @@
         }
         c.call.counted = true;
         boolean atCap = outcome instanceof Outcome.Unreached && !c.trial && now - r.relayedAt < target;
-        if (outcome instanceof Outcome.Unreached && !c.trial) {
-            roomy[r.kind] = Math.max(-ROOMY, roomy[r.kind] - ROOMY);
+        if (outcome instanceof Outcome.Unreached && r.unreachedAt <= r.relayedAt) {
+            r.unreachedAt = now;
         }
         if (outcome instanceof Outcome.Relayed) {
             relayed(r, c, now);
         } else if (outcome instanceof Outcome.Full full) {
             deferred(r, full.pause(), now);
-        } else if (atCap && roomy[r.kind] < ROOMY) {
+        } else if (atCap && roomy[r.kind] < 0) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
             pause(r, now);
@@ -729,7 +730,8 @@
 
     private void relayed(Route r, Connect c, long now) {
         r.relayed.add(now);
-        roomy[r.kind] = Math.min(ROOMY, roomy[r.kind] + 1);
+        boolean brief = r.unreachedAt > r.relayedAt && now - r.unreachedAt < target / 2;
+        roomy[r.kind] = Math.max(-4 * ROOMY, Math.min(ROOMY, roomy[r.kind] + (brief ? -ROOMY : 1)));
         r.relayedAt = now;
         r.deferredRun = 0;
         r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(now - c.sentAt, CLIP * r.usual) - r.usual);
--- a/src/main/java/wrenreach/state/Route.java
+++ b/src/main/java/wrenreach/state/Route.java
@@ -31,6 +31,7 @@
     public int learnt;
     public long usedAt;
     public long relayedAt;
+    public long unreachedAt;
     public long downSince;
     public boolean cold;
     public long warmsFrom;
