--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -147,7 +147,7 @@
         classes = s.classes();
         kinds = s.kinds();
         roomy = new int[kinds.size() + 1];
-        Arrays.fill(roomy, -Math.min(nodes, ROOMY));
+        Arrays.fill(roomy, -Math.min(nodes, ROOMY / 2));
         quota = s.tenants().stream().mapToDouble(t -> t.quotaPerSecond() / s.nodes()).toArray();
         quotaTokens = quota.clone();
         quotaAt = new long[quota.length];
