--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -52,6 +52,7 @@
     private static final double CLIP = 3;
     private static final double SLOWED = 4;
     // Weights of a new sample: the usual time must outlast a slow spell, the recent one must see it.
+    private static final int LATE = 4;
     private static final double LEARN = 0.03;
     private static final double LEARN_RECENT = 0.3;
     private static final double LEARN_LIMIT = 0.2;
@@ -122,6 +123,7 @@
     private long sequence;
     private long soonest;
     private long wakeAt = Long.MIN_VALUE;
+    private long turnAt;
     private boolean following;
     private long askAt = Long.MIN_VALUE;
 
@@ -245,6 +247,7 @@
     }
 
     @Override public List<Answer> next(long now) {
+        turnAt = now;
         soonest = now + (long) (HEARTBEAT * target);
         if (listOnRequest && !following && now >= askAt) {
             following = true;
@@ -734,8 +737,12 @@
         roomy[r.kind] = Math.max(-4 * ROOMY, Math.min(ROOMY, roomy[r.kind] + (brief ? -ROOMY : 1)));
         r.relayedAt = now;
         r.deferredRun = 0;
-        r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(now - c.sentAt, CLIP * r.usual) - r.usual);
-        r.recent += LEARN_RECENT * (now - c.sentAt - r.recent);
+        // Guards against a node's own standing still: what it then finds took as long as it slept. Also covers a
+        // late timer. Harm: a receiver that slows just then is learnt a turn later.
+        if (now <= wakeAt + LATE * tick || wakeAt <= turnAt) {
+            r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(now - c.sentAt, CLIP * r.usual) - r.usual);
+            r.recent += LEARN_RECENT * (now - c.sentAt - r.recent);
+        }
         c.endpoint.failedRun = 0;
         c.endpoint.relayedAt = now;
         if (r.cold && r.warmsFrom == NEVER) {
