--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -439,7 +439,7 @@
     /** Whether the endpoint may be given a call now: breaker, wait, pace, places, slots, lane. */
     private boolean admits(Endpoint e, long now) {
         Route r = e.route;
-        if (slotsOut >= slots || e.to.out >= Math.max(1, slots / 2) || e.out >= places(e, now)) {
+        if (slotsOut >= slots || e.to.out >= Math.max(Math.min(2, slots - 1), slots / 2) || e.out >= places(e, now)) {
             return false;
         }
         if (!breakerLets(r, now)) {
