--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -718,6 +718,9 @@
         if (outcome instanceof Outcome.Unreached && r.unreachedAt <= r.relayedAt) {
             r.unreachedAt = now;
         }
+        if (r.downSince <= r.relayedAt) {
+            r.downSince = now;
+        }
         if (outcome instanceof Outcome.Relayed) {
             relayed(r, c, now);
         } else if (outcome instanceof Outcome.Full full) {
@@ -777,15 +780,16 @@
     }
 
     private void pause(Route r, long now) {
-        double gap = r.usual * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS));
-        r.heldUntil = Math.max(r.heldUntil, now + (long) Math.min(target, gap));
+        double gap = Math.min(target, r.usual * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
+        // Guards a shut receiver, and one whose limit refused calls use up, against the tries of many nodes.
+        if (now - r.downSince > target) {
+            gap = Math.max(gap, rest(r, now) * (1 + REST_SHARE * chance(r.downSince)));
+        }
+        r.heldUntil = Math.max(r.heldUntil, now + (long) gap);
     }
 
     private void failed(Route r, Connect c, Outcome outcome, long now) {
         r.failed.add(now);
-        if (r.downSince <= r.relayedAt) {
-            r.downSince = now;
-        }
         if (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.CalledOff) {
             r.timedOut.add(now);
         }
