--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -728,7 +728,7 @@
         } else if (atCap && roomy[r.kind] < 0) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
-            pause(r, now);
+            pause(r, 0, now);
         } else if (!(outcome instanceof Outcome.NotSent)) {
             failed(r, c, outcome, now);
         }
@@ -763,7 +763,7 @@
     }
 
     private void deferred(Route r, long wait, long now) {
-        pause(r, wait > 0 ? now - target : now);
+        pause(r, wait, now);
         // A full that reports allowance left met a moment's rush: a pause is enough.
         if (r.limitSeen && r.leftAt == now && r.left > SCARCE) {
             return;
@@ -779,13 +779,19 @@
         }
     }
 
-    private void pause(Route r, long now) {
+    /**
+     * Holds a route that was full for the told wait, or else doubling. Guards a shut receiver, and one whose limit
+     * refused calls use up, against many nodes that come again together: where it has relayed none for long, each
+     * comes by chance in the time that all need. Harm: an opened receiver stands idle for a part of that time.
+     */
+    private void pause(Route r, long wait, long now) {
         double gap = Math.min(target, r.usual * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
-        // Guards a shut receiver, and one whose limit refused calls use up, against the tries of many nodes.
-        if (now - r.downSince > target) {
-            gap = Math.max(gap, rest(r, now) * (1 + REST_SHARE * chance(r.downSince)));
+        if (now + wait - r.downSince > target) {
+            gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
+        } else if (wait > 0) {
+            gap = 0;
         }
-        r.heldUntil = Math.max(r.heldUntil, now + (long) gap);
+        r.heldUntil = Math.max(r.heldUntil, now + wait + (long) gap);
     }
 
     private void failed(Route r, Connect c, Outcome outcome, long now) {
