--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -68,7 +68,7 @@
     private static final double WARMS = 0.7;
     // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
     private static final double KEEP = 0.1;
-    private static final double KEEP_UNPROVEN = 0.5;
+    private static final double KEEP_UNPROVEN = 0.4;
     private static final int ROOMY = 64;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
@@ -571,7 +571,7 @@
      */
     private void keepOrRelease(Endpoint e, long now) {
         int seen = roomy[e.route.kind];
-        if (seen >= ROOMY / 2 || e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * idleFor) {
+        if (seen >= ROOMY || e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * idleFor) {
             e.idle.addLast(now);
         } else {
             e.idle.clear();
@@ -724,7 +724,7 @@
             relayed(r, c, now);
         } else if (outcome instanceof Outcome.Full full) {
             deferred(r, full.pause(), now);
-        } else if (atCap && roomy[r.kind] < ROOMY / 2) {
+        } else if (atCap && roomy[r.kind] < ROOMY) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
             pause(r, 0, now);
