--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -66,9 +66,9 @@
     private static final double FEW = 3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
-    // Of the time an idle connection lasts: a longer gap between sends would rarely find it.
-    private static final double KEEP = 0.1;
-    private static final double KEEP_UNPROVEN = 0.4;
+    // Usual times between sends up to which a connection is kept: an endpoint takes a few for each call it serves.
+    private static final double KEEP = 2;
+    private static final double KEEP_UNPROVEN = 10;
     private static final int ROOMY = 64;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3;
@@ -571,7 +571,7 @@
      */
     private void keepOrRelease(Endpoint e, long now) {
         int seen = roomy[e.route.kind];
-        if (seen >= ROOMY || e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * idleFor) {
+        if (seen >= ROOMY || e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * e.route.usual) {
             e.idle.addLast(now);
         } else {
             e.idle.clear();
