--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -261,14 +261,14 @@
                 serve(busy.get((firstServed + i) % busy.size()), pass == 0, now);
             }
         }
-        busy.removeIf(d -> !(d.busy = !d.line.isEmpty() || d.out > 0));
+        busy.removeIf(d -> !(d.busy = !rests(d, now)));
         firstServed++;
         wake(now);
         return take();
     }
 
     private void wake(long now) {
-        boolean idle = held == 0 && !(listOnRequest && !following);
+        boolean idle = busy.isEmpty() && !(listOnRequest && !following);
         long at = Math.max(soonest, now + tick);
         if (!idle && !(wakeAt > now && wakeAt <= at)) {
             wakeAt = at;
@@ -570,13 +570,36 @@
      * two sends there were close. Harm: a handshake for each mail of a returning rush.
      */
     private void keepOrRelease(Endpoint e, long now) {
+        e.idle.addLast(now);
+        if (e.gap > keepFor(e)) {
+            release(e);
+        }
+    }
+
+    private long keepFor(Endpoint e) {
         int seen = roomy[e.route.kind];
-        if (seen >= ROOMY || e.gap < (seen < 0 ? KEEP : KEEP_UNPROVEN) * e.route.usual) {
-            e.idle.addLast(now);
-        } else {
-            e.idle.clear();
-            answers.add(new Answer.Release(e));
+        return seen >= ROOMY ? NEVER : (long) ((seen < 0 ? KEEP : KEEP_UNPROVEN) * e.route.usual);
+    }
+
+    private void release(Endpoint e) {
+        e.idle.clear();
+        answers.add(new Answer.Release(e));
+    }
+
+    /** Whether a destination needs no turn: no mails, no calls, no connection to give back in time. */
+    private boolean rests(Destination d, long now) {
+        boolean rests = d.line.isEmpty() && d.out == 0;
+        for (Endpoint e : d.endpoints) {
+            if (idle(e, now) && keepFor(e) < NEVER) {
+                if (now - e.idle.peekLast() > keepFor(e)) {
+                    release(e);
+                } else {
+                    later(e.idle.peekLast() + keepFor(e) + tick, now);
+                    rests = false;
+                }
+            }
         }
+        return rests;
     }
 
     // ---- Cut-off ----
