--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -60,6 +60,7 @@
     private static final double BACK_OFF = 0.7;
     private static final double LEAST_SHARE = 0.5;
     private static final double FLOOR = 0.5;
+    private static final double SCARCE_GAP = 0.5;
     private static final double SCARCE = 0.15;
     private static final double PLENTY = 0.65;
     private static final int DOUBLINGS = 3;
@@ -807,7 +808,9 @@
      * comes by chance in the time that all need. Harm: an opened receiver stands idle for a part of that time.
      */
     private void pause(Route r, long wait, long now) {
-        double gap = Math.min(target, r.usual * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
+        boolean scarce = r.limitSeen && r.leftAt == now && r.left <= SCARCE;
+        double first = scarce ? SCARCE_GAP * target * (1 + chance(r.deferredRun)) : r.usual;
+        double gap = Math.min(2 * target, first * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
         } else if (wait > 0) {
