--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -810,7 +810,7 @@
     private void pause(Route r, long wait, long now) {
         boolean scarce = r.limitSeen && r.leftAt == now && r.left <= SCARCE;
         double first = scarce ? Math.min(SCARCE_GAP * target, SECOND / limit(r) / part(r, now)) : 0;
-        double gap = Math.min(2 * target, Math.max(first * chance(r.deferredRun), r.usual) * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
+        double gap = Math.min(2 * target, Math.max(first * (1 + chance(r.deferredRun)), r.usual) * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
         } else if (wait > 0) {
