--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -667,8 +667,7 @@
      */
     private double part(Route r, long now) {
         double came = (1 / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
-        double taken = r.relayed.sum(now) + 1;
-        return Math.min(1, Math.max(1.0 / nodes, came / limit(r)) * taken / (taken + r.deferred.sum(now)));
+        return Math.min(1, Math.max(1.0 / nodes, came / limit(r)));
     }
 
     private double share(Route r, long now) {
