--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -19,112 +19,54 @@
 
     // Breaker: the design's run, trials and aging. Fewer than 8 where a route sees fewer than 16 calls in the
     // ring's span; three is the least that a stray failure or two can't make.
-    private static final int RUN = 8;
-    private static final int LEAST_RUN = 3;
-    private static final int TRIALS = 2;
+    private static final int RUN = 8, LEAST_RUN = 3, TRIALS = 2;
     private static final long FORGET = 60 * SECOND;
-    private static final double REST_SHARE = 0.3;
-    private static final double TRIAL_FILL = 1.0;
+    private static final double REST_SHARE = 0.3, TRIAL_FILL = 1.0;
     // Shares of the ring's outcomes: an outage is most calls failing; parking wants near certainty.
-    private static final int RING = 8;
-    private static final double FAILS_MOSTLY = 0.75;
-    private static final double FAILS_OFTEN = 0.5;
-    private static final int SUSPECT_RUN = 2;
-    private static final int SHUT_RUN = 4;
+    private static final int RING = 8, SUSPECT_RUN = 2, SHUT_RUN = 4;
+    private static final double FAILS_MOSTLY = 0.75, FAILS_OFTEN = 0.5;
     // Ratios to the target delay: worth is lost on that scale. Rest and cut-off leave time for another try
     // within it; burst is what a receiver's short queue takes; the share regains slower than bursts come.
-    private static final double RING_SPAN = 2;
-    private static final double CAME_SPAN = 6;
-    private static final double REST = 0.4;
-    private static final double CUT = 0.6;
-    private static final double SHUT_AFTER = 1.5;
-    private static final double FIRST_USUAL = 0.1;
-    private static final double BURST = 0.15;
-    private static final double REGAIN = 12;
-    private static final double HEARTBEAT = 0.04;
+    private static final double RING_SPAN = 2, CAME_SPAN = 6, REST = 0.4, CUT = 0.6, SHUT_AFTER = 1.5,
+            FIRST_USUAL = 0.1, BURST = 0.15, REGAIN = 12, HEARTBEAT = 0.04;
     // Ratios to a route's usual time: one call in some hundred takes over 6 times the mean where times spread
     // as an exponential does or somewhat wider; two places keep one busy while the other is on its way.
-    private static final double CUT_USUAL = 8;
-    private static final double CUT_HUNG = 6;
-    private static final double OVERDUE = 6;
-    private static final double PLACES = 2;
-    private static final double CLIP = 3;
-    private static final double SLOWED = 4;
+    private static final double CUT_USUAL = 8, CUT_HUNG = 6, OVERDUE = 6, PLACES = 2, CLIP = 3, SLOWED = 4;
     // Weights of a new sample: the usual time must outlast a slow spell, the recent one must see it.
-    private static final int LATE = 4;
-    private static final double LEARN = 0.03;
-    private static final double LEARN_RECENT = 0.3;
-    private static final double LEARN_LIMIT = 0.2;
-    private static final int FIRST_LEARNT = 4;
+    private static final int LATE = 4, FIRST_LEARNT = 4;
+    private static final double LEARN = 0.03, LEARN_RECENT = 0.3, LEARN_LIMIT = 0.2;
     // Pace: parts of a route's limit, and of its reported allowance.
-    private static final double BACK_OFF = 0.7;
-    private static final double LEAST_SHARE = 0.5;
-    private static final double FLOOR = 0.5;
-    private static final double SCARCE_GAP = 0.5;
-    private static final double SCARCE = 0.15;
-    private static final double PLENTY = 0.65;
+    private static final double BACK_OFF = 0.7, LEAST_SHARE = 0.5, FLOOR = 0.5, SCARCE_GAP = 0.5,
+            SCARCE = 0.15, PLENTY = 0.65, FEW = 3;
     private static final int DOUBLINGS = 3;
-    private static final double FEW = 3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
-    // Usual times between sends up to which a connection is kept: an endpoint takes a few for each call it serves.
-    private static final double KEEP = 2;
-    private static final double KEEP_UNPROVEN = 10;
+    // Usual times for which a connection is kept: an endpoint takes a few for each call that it serves.
+    private static final double KEEP = 2, KEEP_UNPROVEN = 10;
     private static final int ROOMY = 64;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
-    private static final int LANE_PART = 3;
-    private static final int ROOM_PART = 16;
-    private static final int ASK_PART = 8;
+    private static final int LANE_PART = 3, ROOM_PART = 16, ASK_PART = 8;
     // Endpoint order, in calls out: a call to join first, shunned ones last, then the last tried, cold
     // connections, other zones.
-    private static final double JOIN = -50;
-    private static final double SHUN = 100;
-    private static final double TRIED = 5;
-    private static final double NEW_CONNECTION = 2;
-    private static final double OTHER_ZONE = 1;
-
-    private final int nodes;
-    private final int me;
-    private final int zone;
-    private final long seed;
-    private final long tick;
-    private final int slots;
-    private final int lane;
-    private final int heldLimit;
-    private final int tries;
-    private final boolean copies;
-    private final boolean mayCallOff;
-    private final long retryAfterLimit;
-    private final long idleFor;
-    private final boolean listOnRequest;
-    private final long askEvery;
-    private final double overShareImportance;
-    private final int leftAt;
-    private final int rateAt;
+    private static final double JOIN = -50, SHUN = 100, TRIED = 5, NEW_CONNECTION = 2, OTHER_ZONE = 1;
+
+    private final int nodes, me, zone, slots, lane, heldLimit, tries, leftAt, rateAt;
+    private final long seed, tick, retryAfterLimit, idleFor, askEvery, coldFor, orderSettle, target;
+    private final boolean copies, mayCallOff, listOnRequest;
+    private final double overShareImportance, coldFrom, overload;
     private final List<Settings.QueueClass> classes;
     private final List<Settings.Kind> kinds;
-    private final double[] quota;
-    private final double[] quotaTokens;
+    private final double[] quota, quotaTokens;
     private final long[] quotaAt;
     private final int[] roomy;
-    private final double coldFrom;
-    private final long coldFor;
-    private final double overload;
-    private final long orderSettle;
-    private final long target;
 
     private final List<Destination> known = new ArrayList<>();
     /** Those with mails in line or calls out: all that a turn walks. */
     private final List<Destination> busy = new ArrayList<>();
     private List<Answer> answers = new ArrayList<>();
-    private int held;
-    private int slotsOut;
-    private int firstServed;
-    private long chances;
-    private long sequence;
-    private long soonest;
+    private int held, slotsOut, firstServed;
+    private long chances, sequence, soonest, turnAt;
     private long wakeAt = Long.MIN_VALUE;
-    private long turnAt;
     private boolean following;
     private long askAt = Long.MIN_VALUE;
 
@@ -439,7 +381,8 @@
     /** Whether the endpoint may be given a call now: breaker, wait, pace, places, slots, lane. */
     private boolean admits(Endpoint e, long now) {
         Route r = e.route;
-        if (slotsOut >= slots || e.to.out >= Math.max(Math.min(2, slots - 1), slots / 2) || e.out >= places(e, now)) {
+        if (slotsOut >= slots || e.to.out >= Math.max(Math.min(2, slots - 1), slots / 2)
+                || e.out >= places(e, now)) {
             return false;
         }
         if (!breakerLets(r, now)) {
@@ -508,11 +451,8 @@
     }
 
     private static boolean sameGroup(Settings.QueueClass kind, Endpoint a, Endpoint b) {
-        return switch (kind.repeatGroup()) {
-            case ALL -> true;
-            case ZONE -> a.zone == b.zone;
-            case ENDPOINT -> a == b;
-        };
+        return a == b || kind.repeatGroup() == Settings.RepeatGroup.ALL
+                || kind.repeatGroup() == Settings.RepeatGroup.ZONE && a.zone == b.zone;
     }
 
     private void send(Mail m, Endpoint e, long now) {
@@ -661,7 +601,7 @@
     }
 
     /**
-     * This node's part of a route that all use: the even one, or what lately came here for it against its limit.
+     * This node's part of a route that all use: the even one, or what lately came for it against its limit.
      * Guards sparse nodes among many, whose even part is one mail in minutes: those with mails now share the
      * limit, those without leave theirs. Harm: where all get more than the limit, so do the parts.
      */
@@ -689,7 +629,7 @@
     }
 
     private double pace(Route r, long now) {
-        // Guards a sparse node's only mail, whose lowered share would outlast it. Harm: many nodes' floors add up.
+        // Guards a sparse node's only mail, whose lowered share would outlast it. Harm: many floors add up.
         double pace = Math.max(limit(r) * share(r, now), plenty(r, now) * SECOND / (FLOOR * target));
         if (r.cold && r.warmsFrom != NEVER && now >= r.warmsFrom + coldFor) {
             r.cold = false;
@@ -762,11 +702,12 @@
         roomy[r.kind] = Math.max(-4 * ROOMY, Math.min(ROOMY, roomy[r.kind] + (brief ? -ROOMY : 1)));
         r.relayedAt = now;
         r.deferredRun = 0;
-        // Guards against a node's own standing still: what it then finds took as long as it slept. Also covers a
-        // late timer. Harm: a receiver that slows just then is learnt a turn later.
+        // Guards against a node's own standing still: what it then finds took as long as it slept. Also covers
+        // a late timer. Harm: a receiver that slows just then is learnt a turn later.
         if (now <= wakeAt + LATE * tick || wakeAt <= turnAt) {
-            r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(now - c.sentAt, CLIP * r.usual) - r.usual);
-            r.recent += LEARN_RECENT * (now - c.sentAt - r.recent);
+            long took = now - c.sentAt;
+            r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(took, CLIP * r.usual) - r.usual);
+            r.recent += LEARN_RECENT * (took - r.recent);
         }
         c.endpoint.failedRun = 0;
         c.endpoint.relayedAt = now;
@@ -777,9 +718,7 @@
         if (b.phase == Breaker.Phase.CLOSED) {
             b.failedRun = 0;
         } else if (b.phase == Breaker.Phase.HALF_OPEN && c.trial && ++b.trialRun >= TRIALS) {
-            b.phase = Breaker.Phase.CLOSED;
-            b.failedRun = 0;
-            b.closedAt = now;
+            closed(b, now);
             note(r, "closed after " + TRIALS + " trials relayed");
         }
     }
@@ -792,7 +731,8 @@
         }
         r.deferred.add(now);
         if (now - r.shareAt > r.usual) {
-            r.share = Math.max(LEAST_SHARE * part(r, now), Math.min(share(r, now), 2 * part(r, now)) * BACK_OFF);
+            double part = part(r, now);
+            r.share = Math.max(LEAST_SHARE * part, Math.min(share(r, now), 2 * part) * BACK_OFF);
             r.shareAt = now;
         }
         if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > SHUT_AFTER * target) {
@@ -802,14 +742,15 @@
     }
 
     /**
-     * Holds a route that was full for the told wait, or else doubling. Guards a shut receiver, and one whose limit
-     * refused calls use up, against many nodes that come again together: where it has relayed none for long, each
-     * comes by chance in the time that all need. Harm: an opened receiver stands idle for a part of that time.
+     * Holds a route that was full for the told wait, or else doubling. Guards a shut receiver, and one whose
+     * limit refused calls use up, against many nodes that come again together: where it has relayed none for
+     * long, each comes by chance in the time that all need. Harm: an opened receiver idles for a part of it.
      */
     private void pause(Route r, long wait, long now) {
         boolean scarce = r.limitSeen && r.leftAt == now && r.left <= SCARCE;
         double first = scarce ? Math.min(SCARCE_GAP * target, SECOND / limit(r) / part(r, now)) : 0;
-        double gap = Math.min(2 * target, Math.max(first * (1 + chance(r.deferredRun)), r.usual) * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
+        double gap = Math.max(first * (1 + chance(r.deferredRun)), r.usual);
+        gap = Math.min(2 * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
         } else if (wait > 0) {
@@ -867,20 +808,24 @@
     }
 
     /**
-     * Guards a cold receiver against the trials of many nodes: those that by now may have a mail for it, at most
-     * all, together bring no more than it can do when it returns. Harm: a long outage ends late at sparse nodes.
+     * Guards a cold receiver against the trials of many nodes: those that by now may have a mail for it, at
+     * most all, bring no more than it can do when it returns. Harm: an outage ends late at sparse nodes.
      */
     private double rest(Route r, long now) {
         double waiting = Math.min(nodes, limit(r) * (now - r.downSince) / SECOND);
         return Math.max(REST * target, TRIAL_FILL * SECOND * waiting / (overload * coldFrom * limit(r)));
     }
 
+    private static void closed(Breaker b, long now) {
+        b.phase = Breaker.Phase.CLOSED;
+        b.failedRun = 0;
+        b.closedAt = now;
+    }
+
     private boolean breakerLets(Route r, long now) {
         Breaker b = r.breaker;
         if (b.phase != Breaker.Phase.CLOSED && now - r.usedAt > FORGET) {
-            b.phase = Breaker.Phase.CLOSED;
-            b.failedRun = 0;
-            b.closedAt = now;
+            closed(b, now);
         }
         if (b.phase == Breaker.Phase.OPEN && now < b.restsUntil) {
             later(b.restsUntil, now);
@@ -1030,8 +975,8 @@
         boolean apart = e.kind < kinds.size() && kinds.get(e.kind).routesApart();
         if (apart || e.to.routes.isEmpty()) {
             String name = "destination " + e.to.number + (apart ? " route " + e.to.routes.size() : "");
-            Route r = new Route(name, Math.min(e.kind, kinds.size()), RING, (long) (RING_SPAN * target / RING),
-                    (long) (CAME_SPAN * target / RING));
+            Route r = new Route(name, Math.min(e.kind, kinds.size()), RING,
+                    (long) (RING_SPAN * target / RING), (long) (CAME_SPAN * target / RING));
             r.usual = FIRST_USUAL * target;
             r.recent = r.usual;
             r.learnt = FIRST_LEARNT;
