--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -249,7 +249,7 @@
         for (Route r : d.routes) {
             long opens = r.breaker.phase == Breaker.Phase.OPEN ? r.breaker.restsUntil : now;
             start = Math.min(start, Math.max(0, Math.max(opens, r.heldUntil) - now));
-            pace += limit(r) * share(r, now) * batch(r);
+            pace += pace(r, now) * batch(r);
         }
         if (pace <= 0) {
             return 0;
@@ -702,8 +702,8 @@
         roomy[r.kind] = Math.max(-4 * ROOMY, Math.min(ROOMY, roomy[r.kind] + (brief ? -ROOMY : 1)));
         r.relayedAt = now;
         r.deferredRun = 0;
-        // Guards against a node's own standing still: what it then finds took as long as it slept. Also covers
-        // a late timer. Harm: a receiver that slows just then is learnt a turn later.
+        // Guards against a node's own standing still: what it then finds took as long as it slept. Covers
+        // a late timer too. Harm: a receiver slowing just then is learnt later.
         if (now <= wakeAt + LATE * tick || wakeAt <= turnAt) {
             long took = now - c.sentAt;
             r.usual += Math.max(LEARN, 1.0 / ++r.learnt) * (Math.min(took, CLIP * r.usual) - r.usual);
