--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -610,6 +610,11 @@
         return Math.min(1, Math.max(1.0 / nodes, came / limit(r)));
     }
 
+    /** The time between this node's mails at its part of the limit, within reason. */
+    private double spacing(Route r, long now) {
+        return Math.min(SCARCE_GAP * target, SECOND / limit(r) / part(r, now));
+    }
+
     private double share(Route r, long now) {
         // Guards a limit shared by many: regained shares add up, so each regains slower the more they are.
         double pace = Math.min(1, FEW / nodes) / (REGAIN * target);
@@ -748,8 +753,7 @@
      */
     private void pause(Route r, long wait, long now) {
         boolean scarce = r.limitSeen && r.leftAt == now && r.left <= SCARCE;
-        double first = scarce ? Math.min(SCARCE_GAP * target, SECOND / limit(r) / part(r, now)) : 0;
-        double gap = Math.max(first * (1 + chance(r.deferredRun)), r.usual);
+        double gap = scarce ? Math.max(r.usual, spacing(r, now) * (1 + chance(r.deferredRun))) : r.usual;
         gap = Math.min(2 * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
@@ -870,8 +874,10 @@
             end(m, 0, now);
             return;
         }
-        if (!outcome.neverRan()) {
-            m.notBefore = now + (long) (usualOf(m.to) * chance(m.id));
+        // Guards a down receiver against the quick tries of many nodes, each too few to open a breaker: a mail that
+        // failed goes again by the node's part. Harm: one that met a stray failure waits where nodes are many.
+        if (outcome instanceof Outcome.Unreached || !outcome.neverRan()) {
+            m.notBefore = now + (long) (spacing(lastAt(m).route, now) * chance(m.id));
         }
         int at = m.to.line.size();
         while (at > 0 && m.to.line.get(at - 1).sequence > m.sequence) {
