--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -775,6 +775,7 @@
             open(r, outcome, now);
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
+            pause(r, 0, now);
             if (b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
