--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -695,7 +695,7 @@
         } else if (atCap && roomy[r.kind] < ROOMY) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
-            pause(r, 0, false, now);
+            pause(r, 0, now);
         } else if (!(outcome instanceof Outcome.NotSent)) {
             failed(r, c, outcome, now);
         }
@@ -729,7 +729,7 @@
     }
 
     private void deferred(Route r, long wait, long now) {
-        pause(r, wait, r.limitSeen && r.leftAt == now && r.left <= SCARCE, now);
+        pause(r, wait, now);
         // A full that reports allowance left met a moment's rush: a pause is enough.
         if (r.limitSeen && r.leftAt == now && r.left > SCARCE) {
             return;
@@ -751,7 +751,8 @@
      * limit refused calls use up, against many nodes that come again together: where it has relayed none for
      * long, each comes by chance in the time that all need. Harm: an opened receiver idles for a part of it.
      */
-    private void pause(Route r, long wait, boolean scarce, long now) {
+    private void pause(Route r, long wait, long now) {
+        boolean scarce = r.limitSeen && r.leftAt == now && r.left <= SCARCE;
         double gap = scarce ? Math.max(r.usual, spacing(r, now) * (1 + chance(r.deferredRun))) : r.usual;
         gap = Math.min(2 * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
         if (now + wait - r.downSince > target) {
@@ -774,7 +775,7 @@
             open(r, outcome, now);
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
-            pause(r, 0, outcome instanceof Outcome.Unreached && roomy[r.kind] >= 0, now);
+            pause(r, 0, now);
             if (b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
