--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -251,10 +251,7 @@
             start = Math.min(start, Math.max(0, Math.max(opens, r.heldUntil) - now));
             pace += pace(r, now) * batch(r);
         }
-        if (pace <= 0) {
-            return 0;
-        }
-        return start + (long) (ahead / pace * SECOND);
+        return pace <= 0 ? 0 : start + (long) (ahead / pace * SECOND);
     }
 
     /** When held mails run out: the mail that waits longest goes back, those over share first. */
@@ -344,14 +341,9 @@
         if (m.key == null || !classOf(m).inOrder()) {
             return true;
         }
-        if (m.key.mails.peekFirst() != m) {
-            return false;
-        }
-        if (m.connects.isEmpty() && m.key.restsUntil > now) {
-            later(m.key.restsUntil, now);
-            return false;
-        }
-        return true;
+        boolean rests = m.connects.isEmpty() && m.key.restsUntil > now;
+        later(rests ? m.key.restsUntil : now, now);
+        return m.key.mails.peekFirst() == m && !rests;
     }
 
     private Endpoint pick(Destination d, Mail m, long now) {
@@ -382,10 +374,7 @@
     private boolean admits(Endpoint e, long now) {
         Route r = e.route;
         if (slotsOut >= slots || e.to.out >= Math.max(Math.min(2, slots - 1), slots / 2)
-                || e.out >= places(e, now)) {
-            return false;
-        }
-        if (!breakerLets(r, now)) {
+                || e.out >= places(e, now) || !breakerLets(r, now)) {
             return false;
         }
         if (sick(r, now) && (r.calls.size() >= 1 || laneOut(now) >= lane)) {
@@ -753,7 +742,7 @@
      */
     private void pause(Route r, long wait, long now) {
         boolean scarce = r.limitSeen && r.leftAt == now && r.left <= SCARCE;
-        double gap = scarce ? Math.max(r.usual, spacing(r, now) * (1 + chance(r.deferredRun))) : r.usual;
+        double gap = scarce ? Math.max(r.usual, spacing(r, now) * (1 + chance(wait))) : r.usual;
         gap = Math.min(2 * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
@@ -776,7 +765,7 @@
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
             pause(r, 0, now);
-            // Guards a route among siblings against many nodes that each fail there once: they have others to try,
+            // Guards a route among siblings against many nodes that each fail there once: others can be tried,
             // so the first failure with no relay of late paces it as cold. Harm: a stray one does so too.
             boolean spare = c.endpoint.to.routes.size() > 1 && now - r.relayedAt > target;
             if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
@@ -878,8 +867,8 @@
             end(m, 0, now);
             return;
         }
-        // Guards a down receiver against the quick tries of many nodes, each too few to open a breaker: a mail that
-        // failed goes again by the node's part. Harm: one that met a stray failure waits where nodes are many.
+        // Guards a down receiver against quick tries of many nodes, each too few to open a breaker: a failed
+        // mail goes again by the node's part. Harm: one that met a stray failure waits where nodes are many.
         if (outcome instanceof Outcome.Unreached || !outcome.neverRan()) {
             m.notBefore = now + (long) (spacing(lastAt(m).route, now) * chance(m.id));
         }
