--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -765,7 +765,7 @@
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
             pause(r, 0, now);
-            // Guards a route among siblings against many nodes that each fail there once: others can be tried,
+            // Guards a route among siblings against many nodes that fail there once each: others can be tried,
             // so the first failure with no relay of late paces it as cold. Harm: a stray one does so too.
             boolean spare = c.endpoint.to.routes.size() > 1 && now - r.relayedAt > target;
             if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
