--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -43,14 +43,14 @@
     private static final double WARMS = 0.7;
     // Usual times for which a connection is kept: an endpoint takes a few for each call that it serves.
     private static final double KEEP = 2, KEEP_UNPROVEN = 10;
-    private static final int ROOMY = 64;
+    private static final int ROOMY = 64, ROOMY_FORGETS = 4;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3, ROOM_PART = 16, ASK_PART = 8;
     // Endpoint order, in calls out: a call to join first, shunned ones last, then the last tried, cold
     // connections, other zones.
     private static final double JOIN = -50, SHUN = 100, TRIED = 5, NEW_CONNECTION = 2, OTHER_ZONE = 1;
 
-    private final int nodes, me, zone, slots, lane, heldLimit, tries, leftAt, rateAt;
+    private final int nodes, me, zone, slots, lane, heldLimit, tries, leftAt, rateAt, proof;
     private final long seed, tick, retryAfterLimit, idleFor, askEvery, coldFor, orderSettle, target;
     private final boolean copies, mayCallOff, listOnRequest;
     private final double overShareImportance, coldFrom, overload;
@@ -92,6 +92,7 @@
         classes = s.classes();
         kinds = s.kinds();
         roomy = new int[kinds.size() + 1];
+        proof = Math.min(nodes, ROOMY);
         quota = s.tenants().stream().mapToDouble(t -> t.quotaPerSecond() / s.nodes()).toArray();
         quotaTokens = quota.clone();
         quotaAt = new long[quota.length];
@@ -508,7 +509,7 @@
 
     private long keepFor(Endpoint e) {
         int seen = roomy[e.route.kind];
-        return seen >= ROOMY ? NEVER : (long) ((seen < 0 ? KEEP : KEEP_UNPROVEN) * e.route.usual);
+        return seen >= proof ? NEVER : (long) ((seen < 0 ? KEEP : KEEP_UNPROVEN) * e.route.usual);
     }
 
     private void release(Endpoint e) {
@@ -681,7 +682,7 @@
             relayed(r, c, now);
         } else if (outcome instanceof Outcome.Full full) {
             deferred(r, full.pause(), now);
-        } else if (atCap && roomy[r.kind] < ROOMY) {
+        } else if (atCap && roomy[r.kind] < proof) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
             pause(r, 0, now);
@@ -693,7 +694,8 @@
     private void relayed(Route r, Connect c, long now) {
         r.relayed.add(now);
         boolean brief = r.unreachedAt > r.relayedAt && now - r.unreachedAt < target / 2;
-        roomy[r.kind] = Math.max(-4 * ROOMY, Math.min(ROOMY, roomy[r.kind] + (brief ? -ROOMY : 1)));
+        int seen = roomy[r.kind] + (brief ? -proof : 1);
+        roomy[r.kind] = Math.max(-ROOMY_FORGETS * proof, Math.min(proof, seen));
         r.relayedAt = now;
         r.deferredRun = 0;
         // Guards against a node's own standing still: what it then finds took as long as it slept. Covers
@@ -765,7 +767,7 @@
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
             pause(r, 0, now);
-            // Guards a route among siblings against many nodes that fail there once each: others can be tried,
+            // Guards a route among siblings against many nodes that fail there once: others can be tried,
             // so the first failure with no relay of late paces it as cold. Harm: a stray one does so too.
             boolean spare = c.endpoint.to.routes.size() > 1 && now - r.relayedAt > target;
             if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
