--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -41,7 +41,8 @@
     private static final int DOUBLINGS = 3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
-    // Usual times for which a connection is kept: an endpoint takes a few for each call that it serves.
+    // Usual times for which each of ROOMY nodes, longer of fewer, keeps a connection: an endpoint takes a few
+    // for each call that it serves.
     private static final double KEEP = 2, KEEP_UNPROVEN = 10;
     private static final int ROOMY = 64, ROOMY_FORGETS = 4;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
@@ -509,7 +510,8 @@
 
     private long keepFor(Endpoint e) {
         int seen = roomy[e.route.kind];
-        return seen >= proof ? NEVER : (long) ((seen < 0 ? KEEP : KEEP_UNPROVEN) * e.route.usual);
+        double times = (seen < 0 ? KEEP : KEEP_UNPROVEN) * ROOMY / proof;
+        return seen >= proof ? NEVER : (long) (times * e.route.usual);
     }
 
     private void release(Endpoint e) {
