--- a/src/test/java/wrenreach/ChoiceTest.java
+++ b/src/test/java/wrenreach/ChoiceTest.java
@@ -15,6 +15,7 @@
 import wrenreach.state.Endpoint;
 import wrenreach.state.Mail;
 import wrenreach.state.OrderKey;
+import wrenreach.state.Route;
 
 class ChoiceTest {
     private final Setup s = new Setup();
@@ -407,6 +408,142 @@
         assertThat(sent.get(0).call.size).isEqualTo(3);
     }
 
+    // ---- Many nodes ----
+
+    private Route route() {
+        return s.to.routes.get(0);
+    }
+
+    private void report(Connect c, Outcome outcome, double left) {
+        s.answers.addAll(s.choice().ended(c, outcome, new double[] {left, 10}, false, s.now));
+    }
+
+    @Test void aConnectionIsGivenBackWhereUnreachedConnectsAreSoonRelayed() {
+        s.nodes = 200;
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.Unreached());
+        s.end(s.turn(1000).get(0), new Outcome.Relayed());
+        s.turn(1500);
+        assertThat(s.ever(Answer.Release.class)).hasSize(1);
+    }
+
+    @Test void aConnectionIsKeptOnceTheKindProvedRoomy() {
+        s.endpoint(1, 0);
+        for (int i = 0; i < 3; i++) {
+            s.end(s.send(), new Outcome.Relayed());
+        }
+        int before = s.ever(Answer.Release.class).size();
+        s.turn(4000);
+        assertThat(s.ever(Answer.Release.class)).hasSize(before);
+        assertThat(s.to.endpoints.get(0).idle).isNotEmpty();
+    }
+
+    @Test void unreachedSoonAfterARelayIsACapAndNeutral() {
+        s.nodes = 200;
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.Relayed());
+        s.end(s.send(), new Outcome.Unreached());
+        assertThat(breaker().failedRun).isZero();
+        assertThat(route().heldUntil).isGreaterThan(s.now);
+    }
+
+    @Test void aSparseNodesNextMailNeedNotWaitForAnEvenPart() {
+        s.nodes = 200;
+        s.weight = 4;
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.Relayed());
+        route().share = 1.0 / 200;
+        route().shareAt = s.now;
+        s.mail(null);
+        assertThat(s.turn(2500)).as("an even part is one mail in 50 s").hasSize(1);
+    }
+
+    @Test void theRestGrowsWithTheNodesThatMayWait() {
+        s.nodes = 200;
+        s.weight = 4;
+        opened();
+        route().downSince = s.now - 10_000 * Setup.MS;
+        Connect trial = s.turn(6000).get(0);
+        s.end(trial, new Outcome.Unreached());
+        assertThat(breaker().restsUntil - s.now).isGreaterThan(20_000 * Setup.MS);
+    }
+
+    @Test void afterALongToldWaitNodesDoNotComeTogether() {
+        s.nodes = 200;
+        s.weight = 4;
+        s.endpoint(1, 0);
+        Connect c = s.send();
+        route().downSince = s.now - 10_000 * Setup.MS;
+        s.end(c, new Outcome.Full(4000 * Setup.MS));
+        assertThat(route().heldUntil - s.now).isGreaterThan(4100 * Setup.MS);
+    }
+
+    @Test void aFullWithAllowanceLeftOnlyPauses() {
+        s.endpoint(1, 0);
+        report(s.send(), new Outcome.Full(0), 0.9);
+        assertThat(route().share).isEqualTo(1);
+        report(s.turn(3000).get(0), new Outcome.Full(0), 0);
+        assertThat(route().share).isLessThan(1);
+    }
+
+    @Test void aFailedMailOfASparseNodeIsNotTriedAgainAtOnce() {
+        s.nodes = 200;
+        s.weight = 4;
+        s.endpoint(1, 0);
+        Connect c = s.send();
+        s.end(c, new Outcome.Unreached());
+        assertThat(s.turn(5)).isEmpty();
+        assertThat(c.mail.notBefore).isGreaterThan(s.now - 5 * Setup.MS);
+    }
+
+    @Test void theFirstFailureAmongSiblingsPacesARouteAsCold() {
+        s.apart = true;
+        s.endpoint(1, 0);
+        s.endpoint(2, 0);
+        Connect c = s.send();
+        s.end(c, new Outcome.Unreached());
+        assertThat(c.endpoint.route.cold).isTrue();
+    }
+
+    @Test void timesFoundAfterStandingStillAreNotLearnt() {
+        s.endpoint(1, 0);
+        Connect c = s.send();
+        double usual = route().usual;
+        s.now += 2000 * Setup.MS;
+        s.end(c, new Outcome.Relayed());
+        assertThat(route().usual).isEqualTo(usual);
+    }
+
+    @Test void waitsAreExpectedByTheRealPace() {
+        s.nodes = 200;
+        s.weight = 4;
+        s.endpoint(1, 0);
+        s.send();
+        route().share = 0.0001;
+        route().shareAt = s.now;
+        s.mail(null);
+        assertThat(s.ever(Answer.Defer.class)).isEmpty();
+    }
+
+    @Test void anIdleNodeIsNotWoken() {
+        s.endpoint(1, 0);
+        for (int i = 0; i < 3; i++) {
+            s.end(s.send(), new Outcome.Relayed());
+        }
+        s.turn(5000);
+        int wakes = s.ever(Answer.Wake.class).size();
+        s.turn(1000);
+        assertThat(s.ever(Answer.Wake.class)).hasSize(wakes);
+    }
+
+    @Test void oneNodeWithOneSlotAndNoWeightStillSends() {
+        s.nodes = 1;
+        s.slots = 1;
+        s.weight = 0;
+        s.endpoint(1, 0);
+        assertThat(s.send().cutAt).isGreaterThan(s.now);
+    }
+
     @Test void aFailedListIsAskedForAgain() {
         s.ask = true;
         s.turn(0);
