--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -375,8 +375,8 @@
     /** Whether the endpoint may be given a call now: breaker, wait, pace, places, slots, lane. */
     private boolean admits(Endpoint e, long now) {
         Route r = e.route;
-        // Half of the slots, but two of three: guards clumps at nodes of few slots. Harm: one may turn silent so.
-        int most = slots == 3 ? 2 : Math.max(1, slots / 2);
+        // Half of the slots, but two of three: guards clumps at nodes of few slots. Harm: it may turn silent.
+        int most = Math.max(Math.min(2, slots - 1), Math.max(1, slots / 2));
         if (slotsOut >= slots || e.to.out >= most || e.out >= places(e, now) || !breakerLets(r, now)) {
             return false;
         }
