--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -36,7 +36,7 @@
     private static final int LATE = 4, FIRST_LEARNT = 4;
     private static final double LEARN = 0.03, LEARN_RECENT = 0.3, LEARN_LIMIT = 0.2;
     // Pace: parts of a route's limit, and of its reported allowance.
-    private static final double BACK_OFF = 0.7, LEAST_SHARE = 0.5, FLOOR = 0.5, SCARCE_GAP = 1,
+    private static final double BACK_OFF = 0.7, LEAST_SHARE = 0.5, FLOOR = 0.5, SCARCE_GAP = 0.5,
             SCARCE = 0.15, PLENTY = 0.65, FEW = 3;
     private static final int DOUBLINGS = 3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
@@ -748,7 +748,7 @@
     private void pause(Route r, long wait, long now) {
         boolean scarce = r.limitSeen && r.leftAt == now && r.left <= SCARCE;
         double gap = scarce ? Math.max(r.usual, spacing(r, now) * (1 + chance(wait))) : r.usual;
-        gap = Math.min((scarce ? 4 : 2) * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
+        gap = Math.min(2 * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
         } else if (wait > 0) {
