--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -599,7 +599,7 @@
      * limit, those without leave theirs. Harm: where all get more than the limit, so do the parts.
      */
     private double part(Route r, long now) {
-        double came = (1 / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
+        double came = (plenty(r, now) / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
         return Math.min(1, Math.max(1.0 / nodes, came / limit(r)));
     }
 
@@ -620,7 +620,7 @@
 
     /** From 1 where allowance is left, or no report of late tells, to 0 where there is none. */
     private double plenty(Route r, long now) {
-        if (!r.limitSeen || now - r.leftAt > RING_SPAN * target) {
+        if (!r.limitSeen || now - r.leftAt > CAME_SPAN * target) {
             return 1;
         }
         return Math.max(0, Math.min(1, (r.left - SCARCE) / (PLENTY - SCARCE)));
