--- a/src/test/java/wrenreach/ChoiceTest.java
+++ b/src/test/java/wrenreach/ChoiceTest.java
@@ -458,6 +458,16 @@
         assertThat(s.turn(2500)).as("an even part is one mail in 50 s").hasSize(1);
     }
 
+    @Test void aSparseNodesPartFallsWhereNoAllowanceIsReported() {
+        s.nodes = 200;
+        s.endpoint(1, 0);
+        report(s.send(), new Outcome.Relayed(), 0);
+        route().tokens = 0;
+        route().tokensAt = s.now;
+        s.mail(null);
+        assertThat(s.turn(4000)).as("200 nodes with a mail more each are over the limit").isEmpty();
+    }
+
     @Test void theRestGrowsWithTheNodesThatMayWait() {
         s.nodes = 200;
         s.weight = 4;
