--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -237,11 +237,9 @@
         double most = Math.max(1, quota[t] * target / SECOND);
         quotaTokens[t] = Math.min(most, quotaTokens[t] + quota[t] * (now - quotaAt[t]) / SECOND);
         quotaAt[t] = now;
-        if (quotaTokens[t] < 1) {
-            return true;
-        }
-        quotaTokens[t]--;
-        return false;
+        boolean over = quotaTokens[t] < 1;
+        quotaTokens[t] -= over ? 0 : 1;
+        return over;
     }
 
     /** How long a mail waits that has so many before it. */
@@ -688,7 +686,7 @@
         } else if (atCap && roomy[r.kind] < proof) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
-            pause(r, 0, now);
+            pause(r, 0, false, now);
         } else if (!(outcome instanceof Outcome.NotSent)) {
             failed(r, c, outcome, now);
         }
@@ -723,7 +721,7 @@
     }
 
     private void deferred(Route r, long wait, long now) {
-        pause(r, wait, now);
+        pause(r, wait, true, now);
         // A full that reports allowance left met a moment's rush: a pause is enough.
         if (r.limitSeen && r.leftAt == now && r.left > SCARCE) {
             return;
@@ -745,8 +743,9 @@
      * limit refused calls use up, against many nodes that come again together: where it has relayed none for
      * long, each comes by chance in the time that all need. Harm: an opened receiver idles for a part of it.
      */
-    private void pause(Route r, long wait, long now) {
-        boolean scarce = r.limitSeen && r.leftAt == now && r.left <= SCARCE;
+    private void pause(Route r, long wait, boolean full, long now) {
+        boolean scarce = full && now - r.relayedAt > target
+                || r.limitSeen && r.leftAt == now && r.left <= SCARCE;
         double gap = scarce ? Math.max(r.usual, spacing(r, now) * (1 + chance(wait))) : r.usual;
         gap = Math.min(2 * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
         if (now + wait - r.downSince > target) {
@@ -769,7 +768,7 @@
             open(r, outcome, now);
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
-            pause(r, 0, now);
+            pause(r, 0, false, now);
             // Guards a route among siblings against many nodes that fail there once: others can be tried,
             // so the first failure with no relay of late paces it as cold. Harm: a stray one does so too.
             boolean spare = c.endpoint.to.routes.size() > 1 && now - r.relayedAt > target;
