--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -751,7 +751,7 @@
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
         } else if (wait > 0) {
-            gap = 0;
+            gap = now - r.relayedAt > target ? 2 * spacing(r, now) * chance(wait) : 0;
         }
         r.heldUntil = Math.max(r.heldUntil, now + wait + (long) gap);
     }
--- a/src/test/java/wrenreach/ChoiceTest.java
+++ b/src/test/java/wrenreach/ChoiceTest.java
@@ -488,6 +488,15 @@
         assertThat(route().heldUntil - s.now).isGreaterThan(4100 * Setup.MS);
     }
 
+    @Test void aShortToldWaitWithoutARelayOfLateEndsByChance() {
+        s.nodes = 200;
+        s.weight = 4;
+        s.endpoint(1, 0);
+        Connect c = s.send();
+        s.end(c, new Outcome.Full(500 * Setup.MS));
+        assertThat(route().heldUntil - s.now).isGreaterThan(510 * Setup.MS);
+    }
+
     @Test void aFullWithAllowanceLeftOnlyPauses() {
         s.endpoint(1, 0);
         report(s.send(), new Outcome.Full(0), 0.9);
