--- /dev/null
+++ b/src/main/java/wrenreach/held/Directory.java
@@ -0,0 +1,49 @@
+package wrenreach.held;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import wrenreach.state.Destination;
+import wrenreach.state.Endpoint;
+import wrenreach.state.OrderKey;
+
+/** The objects that ids at the door stand for; I is the kind of id of endpoints and order keys. */
+public final class Directory<I> {
+    private static final int FIRST_SWEEP = 64;
+
+    private final Map<Integer, Destination> destinations = new HashMap<>();
+    private final Map<I, Endpoint> endpoints = new HashMap<>();
+    private final Map<I, OrderKey> keys = new HashMap<>();
+    private int sweepAt = FIRST_SWEEP;
+
+    public Destination destination(int number) {
+        return destinations.computeIfAbsent(number, Destination::new);
+    }
+
+    /** Whether a destination of this number has been named by a list. */
+    public boolean listed(int number) {
+        Destination d = destinations.get(number);
+        return d != null && !d.endpoints.isEmpty();
+    }
+
+    /** The endpoint of this id, or null. */
+    public Endpoint endpoint(I id) {
+        return endpoints.get(id);
+    }
+
+    public Endpoint endpoint(I id, Supplier<Endpoint> first) {
+        return endpoints.computeIfAbsent(id, i -> first.get());
+    }
+
+    public OrderKey key(I id) {
+        return keys.computeIfAbsent(id, i -> new OrderKey());
+    }
+
+    /** Drops keys that nothing waits for, once their number has doubled. */
+    public void sweepKeys(long now) {
+        if (keys.size() >= sweepAt) {
+            keys.values().removeIf(key -> key.mails.isEmpty() && key.restsUntil <= now);
+            sweepAt = 2 * keys.size() + FIRST_SWEEP;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/held/Entry.java
@@ -0,0 +1,107 @@
+package wrenreach.held;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+
+/** One record of the journal and its form on disk. */
+public sealed interface Entry {
+    /** The mail that it is about. */
+    String id();
+
+    /** Taken on; endsBy in wall time. */
+    record Taken(Submission submission, long endsBy) implements Entry {
+        @Override public String id() {
+            return submission.id();
+        }
+    }
+
+    /** A connect's bytes are about to go out. */
+    record Connecting(String id, PastConnect connect) implements Entry { }
+
+    /** A connect is known not to have run. */
+    record NeverRan(String id, int number) implements Entry { }
+
+    /** Ended undelivered, to be told to the platform. */
+    record Ended(String id, Ending ending) implements Entry { }
+
+    /** Nothing is owed any more. */
+    record Over(String id) implements Entry { }
+
+    /** The record without its length and checksum. */
+    default byte[] encode() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
+        DataOutputStream out = new DataOutputStream(bytes);
+        try {
+            if (this instanceof Taken t) {
+                Submission s = t.submission;
+                out.writeByte(1);
+                text(out, s.id());
+                out.writeLong(t.endsBy);
+                text(out, s.key());
+                text(out, s.queueClass());
+                text(out, s.tenant());
+                text(out, s.tag());
+                out.writeInt(s.destination());
+                out.writeInt(s.body().length);
+                out.write(s.body());
+            } else if (this instanceof Connecting c) {
+                out.writeByte(2);
+                text(out, c.id);
+                out.writeInt(c.connect.number());
+                text(out, c.connect.endpoint());
+                out.writeInt(c.connect.zone());
+                out.writeLong(c.connect.sentAt());
+            } else if (this instanceof NeverRan n) {
+                out.writeByte(3);
+                text(out, n.id);
+                out.writeInt(n.number);
+            } else if (this instanceof Ended e) {
+                out.writeByte(4);
+                text(out, e.id);
+                out.writeBoolean(e.ending.deferred());
+                out.writeLong(e.ending.retryAfterMs());
+            } else {
+                out.writeByte(5);
+                text(out, id());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Reads what encode wrote; IOException where it is no record of this form. */
+    static Entry decode(byte[] bytes) throws IOException {
+        DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+        int type = in.readByte();
+        String id = text(in);
+        return switch (type) {
+            case 1 -> {
+                long endsBy = in.readLong();
+                yield new Taken(new Submission(id, text(in), text(in), text(in), text(in), in.readInt(),
+                        in.readNBytes(in.readInt())), endsBy);
+            }
+            case 2 -> new Connecting(id,
+                    new PastConnect(in.readInt(), text(in), in.readInt(), in.readLong(), false));
+            case 3 -> new NeverRan(id, in.readInt());
+            case 4 -> new Ended(id, new Ending(in.readBoolean(), in.readLong()));
+            case 5 -> new Over(id);
+            default -> throw new IOException("unknown type " + type);
+        };
+    }
+
+    private static void text(DataOutputStream out, String text) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        out.writeShort(bytes.length);
+        out.write(bytes);
+    }
+
+    private static String text(DataInputStream in) throws IOException {
+        return new String(in.readNBytes(in.readUnsignedShort()), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/held/Journal.java
@@ -0,0 +1,248 @@
+package wrenreach.held;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32;
+
+/**
+ * What the node owes, in a file that outlasts it: records of length, checksum and content, appended once a
+ * turn. A tail that a killed process left half written is cut off. Old records go by writing what is still
+ * owed into a new file that takes the old one's name.
+ */
+public final class Journal implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(Journal.class.getName());
+    private static final String NAME = "journal", NEXT = "journal.next";
+    private static final int HEAD = 8;
+    /** Parts of the room: the old and the compacted file stand beside each other for a moment. */
+    private static final double FILE_PART = 0.55, OWED_PART = 0.4;
+
+    private final Path file;
+    private final Path next;
+    private final long fileLimit;
+    private final long owedLimit;
+    private final Map<String, HeldMail> owed;
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream(1 << 12);
+    private FileChannel channel;
+    private long size;
+    private long owedBytes;
+
+    private Journal(Path folder, long limit, Map<String, HeldMail> owed, long size) throws IOException {
+        file = folder.resolve(NAME);
+        next = folder.resolve(NEXT);
+        fileLimit = (long) (limit * FILE_PART);
+        owedLimit = (long) (limit * OWED_PART);
+        this.owed = owed;
+        this.size = size;
+        owed.values().forEach(held -> owedBytes += held.bytes);
+        Files.deleteIfExists(next);
+        channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        channel.truncate(size);
+        channel.position(size);
+    }
+
+    /** Opens the folder's journal for writing; limit: bytes that the folder may hold. */
+    public static Journal open(Path folder, long limit) throws IOException {
+        Map<String, HeldMail> owed = new LinkedHashMap<>();
+        return new Journal(folder, limit, owed, replay(folder.resolve(NAME), owed));
+    }
+
+    /** What the folder's journal owes, in the order taken on; nothing is written. */
+    public static List<HeldMail> read(Path folder) throws IOException {
+        Map<String, HeldMail> owed = new LinkedHashMap<>();
+        replay(folder.resolve(NAME), owed);
+        return new ArrayList<>(owed.values());
+    }
+
+    /** What is owed, in the order taken on. */
+    public List<HeldMail> owed() {
+        return new ArrayList<>(owed.values());
+    }
+
+    /** Whether a mail of this body, its connects and its ending would find room; so many are to come before. */
+    public boolean fits(int bodyBytes, int before, int tries) {
+        return owedBytes + (1L + before) * (bodyBytes + (1 + tries) * 128L) <= owedLimit;
+    }
+
+    public void taken(HeldMail held) {
+        held.owed = true;
+        owed.put(held.submission.id(), held);
+        note(held, new Entry.Taken(held.submission, held.endsBy));
+    }
+
+    public void connecting(HeldMail held, PastConnect connect) {
+        held.connects.add(connect);
+        note(held, new Entry.Connecting(held.submission.id(), connect));
+        if (connect.neverRan()) {
+            note(held, new Entry.NeverRan(held.submission.id(), connect.number()));
+        }
+    }
+
+    public void neverRan(HeldMail held, int number) {
+        if (mark(held, number)) {
+            note(held, new Entry.NeverRan(held.submission.id(), number));
+        }
+    }
+
+    public void ended(HeldMail held, Ending ending) {
+        held.ending = ending;
+        note(held, new Entry.Ended(held.submission.id(), ending));
+    }
+
+    public void over(HeldMail held) {
+        if (held.owed && owed.remove(held.submission.id(), held)) {
+            held.owed = false;
+            append(pending, new Entry.Over(held.submission.id()));
+            owedBytes -= held.bytes;
+        }
+    }
+
+    /** Writes all records noted since the last time, at once. */
+    public void write() throws IOException {
+        if (pending.size() == 0) {
+            return;
+        }
+        if (size + pending.size() > fileLimit) {
+            compact();
+        } else {
+            size += write(channel, pending);
+        }
+        pending.reset();
+    }
+
+    /** What is pending is part of the state that this writes. */
+    private void compact() throws IOException {
+        long before = size;
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) Math.max(64, owedBytes));
+        owed.values().forEach(held -> entries(held).forEach(entry -> append(bytes, entry)));
+        FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING);
+        size = write(fresh, bytes);
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        channel.close();
+        channel = fresh;
+        LOG.log(Level.INFO, "journal compacted: {0} to {1} bytes, {2} mails owed", before, size, owed.size());
+    }
+
+    private static List<Entry> entries(HeldMail held) {
+        List<Entry> entries = new ArrayList<>();
+        entries.add(new Entry.Taken(held.submission, held.endsBy));
+        for (PastConnect c : held.connects) {
+            entries.add(new Entry.Connecting(held.submission.id(), c));
+            if (c.neverRan()) {
+                entries.add(new Entry.NeverRan(held.submission.id(), c.number()));
+            }
+        }
+        if (held.ending != null) {
+            entries.add(new Entry.Ended(held.submission.id(), held.ending));
+        }
+        return entries;
+    }
+
+    private void note(HeldMail held, Entry entry) {
+        int bytes = append(pending, entry);
+        held.bytes += bytes;
+        owedBytes += bytes;
+    }
+
+    private static int append(ByteArrayOutputStream to, Entry entry) {
+        byte[] content = entry.encode();
+        DataOutputStream out = new DataOutputStream(to);
+        try {
+            out.writeInt(content.length);
+            out.writeInt(checksum(content));
+            out.write(content);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return HEAD + content.length;
+    }
+
+    private static int write(FileChannel to, ByteArrayOutputStream bytes) throws IOException {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes.toByteArray());
+        while (buffer.hasRemaining()) {
+            to.write(buffer);
+        }
+        return buffer.limit();
+    }
+
+    /** Reads records until the end or the first that is not whole; the length of those that are. */
+    private static long replay(Path file, Map<String, HeldMail> owed) throws IOException {
+        if (!Files.exists(file)) {
+            return 0;
+        }
+        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file));
+        int good = 0;
+        while (bytes.remaining() >= HEAD) {
+            int length = bytes.getInt();
+            int checksum = bytes.getInt();
+            if (length < 0 || length > bytes.remaining()) {
+                break;
+            }
+            byte[] content = new byte[length];
+            bytes.get(content);
+            if (checksum(content) != checksum) {
+                break;
+            }
+            apply(Entry.decode(content), HEAD + length, owed);
+            good = bytes.position();
+        }
+        if (good < bytes.limit()) {
+            LOG.log(Level.WARNING, "journal: cut off a torn tail of {0} bytes", bytes.limit() - good);
+        }
+        return good;
+    }
+
+    private static void apply(Entry entry, int bytes, Map<String, HeldMail> owed) {
+        HeldMail held = owed.get(entry.id());
+        if (entry instanceof Entry.Taken taken) {
+            held = new HeldMail(taken.submission(), taken.endsBy());
+            held.owed = true;
+            owed.put(entry.id(), held);
+        } else if (held == null) {
+            return;
+        } else if (entry instanceof Entry.Connecting connecting) {
+            held.connects.add(connecting.connect());
+        } else if (entry instanceof Entry.NeverRan neverRan) {
+            mark(held, neverRan.number());
+        } else if (entry instanceof Entry.Ended ended) {
+            held.ending = ended.ending();
+        } else {
+            owed.remove(entry.id());
+        }
+        held.bytes += bytes;
+    }
+
+    private static boolean mark(HeldMail held, int number) {
+        for (int i = 0; i < held.connects.size(); i++) {
+            PastConnect c = held.connects.get(i);
+            if (c.number() == number && !c.neverRan()) {
+                held.connects.set(i, new PastConnect(number, c.endpoint(), c.zone(), c.sentAt(), true));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static int checksum(byte[] content) {
+        CRC32 crc = new CRC32();
+        crc.update(content);
+        return (int) crc.getValue();
+    }
+
+    @Override public void close() throws IOException {
+        channel.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/net/Addresses.java
@@ -0,0 +1,26 @@
+package wrenreach.net;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Addresses as config and discovery word them. There is no name service: hosts are given as numbers. */
+public final class Addresses {
+    private Addresses() { }
+
+    /** Reads host:port; IllegalArgumentException where it is none. */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        try {
+            int port = host == null ? -1 : Integer.parseInt(text.substring(colon + 1));
+            if (port >= 0 && port < 65_536) {
+                return new InetSocketAddress(InetAddress.getByAddress(host), port);
+            }
+        } catch (NumberFormatException | UnknownHostException e) {
+            throw new IllegalArgumentException("not an address: " + text, e);
+        }
+        throw new IllegalArgumentException("not an address: " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/net/CallAnswer.java
@@ -0,0 +1,6 @@
+package wrenreach.net;
+
+import wrenreach.api.Outcome;
+
+/** What an endpoint answered; over: nothing more is owed. */
+record CallAnswer(Outcome outcome, double[] report, boolean over, boolean understood) { }
--- /dev/null
+++ b/src/main/java/wrenreach/net/Calls.java
@@ -0,0 +1,368 @@
+package wrenreach.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import wrenreach.api.Outcome;
+import wrenreach.held.HeldMail;
+import wrenreach.state.Connect;
+import wrenreach.state.Endpoint;
+import wrenreach.state.Route;
+
+/**
+ * Calls to endpoints and the connections that carry them, one call at a time each. A call is staged until the
+ * turn's records are written; what must not go out any more by then never does.
+ */
+public final class Calls {
+    private static final System.Logger LOG = System.getLogger(Calls.class.getName());
+    /** Part of the settings' idle time after which a connection is given up, before the other side does. */
+    private static final double IDLE_PART = 0.9;
+
+    /** What the calls report. */
+    public interface Host {
+        /** The time of the turn. */
+        long turn();
+
+        /** A connect ended. */
+        void ended(HeldMail held, Connect connect, Outcome outcome, double[] report, boolean over);
+
+        /** Whether the mail's turn is held up by an ending that the platform has not heard yet. */
+        boolean heldBack(HeldMail held);
+
+        /** The call's bytes go out next. */
+        void goesOut(HeldMail held, Connect connect);
+    }
+
+    /** Where an endpoint listens and its connections that stand idle, latest used last. */
+    private static final class Pool {
+        InetSocketAddress address;
+        final Deque<Link> idle = new ArrayDeque<>(4);
+    }
+
+    /** One call under way. */
+    private static final class Outgoing {
+        final HeldMail held;
+        final Connect connect;
+        Link link;
+        Future<?> cut;
+        boolean over;
+
+        Outgoing(HeldMail held, Connect connect) {
+            this.held = held;
+            this.connect = connect;
+        }
+    }
+
+    private final EventLoop loop;
+    private final Host host;
+    private final CallCodec codec;
+    private final long idleFor;
+    private final int idleLimit;
+    private final Bootstrap bootstrap;
+    private final Map<Endpoint, Pool> pools = new IdentityHashMap<>();
+    private final Map<Connect, Outgoing> out = new HashMap<>();
+    private final Map<Route, Long> toldUntil = new IdentityHashMap<>();
+    private final Deque<Link> idle = new ArrayDeque<>();
+    private List<Outgoing> staged = new ArrayList<>();
+    private final List<Outgoing> going = new ArrayList<>();
+
+    /** Times in microseconds; idleLimit: connections that may stand idle. */
+    public Calls(EventLoop loop, Host host, List<String> reportNames, long idleFor, long connectTimeout, int idleLimit) {
+        this.loop = loop;
+        this.host = host;
+        this.codec = new CallCodec(reportNames);
+        this.idleFor = idleFor > 0 ? (long) (idleFor * IDLE_PART) : Long.MAX_VALUE;
+        this.idleLimit = idleLimit;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        connectTimeout > 0 ? (int) Math.max(1, connectTimeout / 1000) : 30_000);
+    }
+
+    /** Where the endpoint listens from now on. */
+    public void locate(Endpoint endpoint, InetSocketAddress address) {
+        Pool pool = pools.computeIfAbsent(endpoint, e -> new Pool());
+        if (!address.equals(pool.address)) {
+            release(endpoint);
+            pool.address = address;
+        }
+    }
+
+    public int underWay() {
+        return out.size();
+    }
+
+    /** Makes a connect: over an idle connection, else a new one. */
+    public void send(HeldMail held, Connect connect) {
+        Outgoing call = new Outgoing(held, connect);
+        out.put(connect, call);
+        Pool pool = pools.get(connect.endpoint);
+        Link link = pool == null ? null : pool.idle.pollLast();
+        call.cut = loop.schedule(() -> cut(call), connect.cutAt - host.turn(), TimeUnit.MICROSECONDS);
+        if (link != null) {
+            idle.remove(link);
+            link.stopIdling();
+            carry(link, call);
+        } else if (pool == null || pool.address == null) {
+            loop.execute(() -> end(call, new Outcome.Unreached()));
+        } else {
+            open(pool, call);
+        }
+    }
+
+    private void open(Pool pool, Outgoing call) {
+        Link link = new Link(pool);
+        link.call = call;
+        call.link = link;
+        ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+            @Override protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(new HttpClientCodec(), link);
+            }
+        }).connect(pool.address);
+        link.channel = opening.channel();
+        opening.addListener(done -> {
+            if (!done.isSuccess()) {
+                end(call, new Outcome.Unreached());
+            } else if (!call.over) {
+                host.turn();
+                carry(link, call);
+            }
+        });
+    }
+
+    private void carry(Link link, Outgoing call) {
+        link.call = call;
+        link.answered = false;
+        link.written = false;
+        call.link = link;
+        staged.add(call);
+    }
+
+    /** The module has heard a told wait: nothing unwritten goes to this route before it is over. */
+    private void toldToWait(Route route, long until) {
+        toldUntil.merge(route, until, Math::max);
+    }
+
+    /**
+     * Before the module decides: ends staged calls that must not be written any more. Guards drains and told
+     * waits that came in while the connection was being made.
+     */
+    public void dropForbidden() {
+        long now = host.turn();
+        for (Outgoing call : List.copyOf(staged)) {
+            Endpoint endpoint = call.connect.endpoint;
+            if (!endpoint.ready || toldUntil.getOrDefault(endpoint.route, Long.MIN_VALUE) > now) {
+                Link link = call.link;
+                end(call, new Outcome.NotSent(false));
+                link.rest();
+            }
+        }
+    }
+
+    /** Before the turn's records are written: names each call whose bytes go out after them. */
+    public void choose() {
+        List<Outgoing> kept = new ArrayList<>();
+        for (Outgoing call : staged) {
+            if (host.heldBack(call.held)) {
+                kept.add(call);
+            } else {
+                host.goesOut(call.held, call.connect);
+                going.add(call);
+            }
+        }
+        staged = kept;
+    }
+
+    /** Writes the chosen calls. */
+    public void flush(long now) {
+        for (Outgoing call : going) {
+            if (!call.over) {
+                write(call, Math.max(0, (call.connect.cutAt - now) / 1000));
+            }
+        }
+        going.clear();
+    }
+
+    private void write(Outgoing call, long budgetMs) {
+        Link link = call.link;
+        InetSocketAddress address = link.pool.address;
+        String name = address.getAddress().getHostAddress() + ":" + address.getPort();
+        link.channel.writeAndFlush(CallCodec.request(call.held.submission, name, budgetMs)).addListener(done -> {
+            link.written = done.isSuccess();
+            if (!done.isSuccess()) {
+                link.close();
+                end(call, new Outcome.Unreached());
+            }
+        });
+    }
+
+    private void cut(Outgoing call) {
+        boolean written = call.link != null && call.link.written;
+        boolean waits = staged.contains(call);
+        abandon(call);
+        end(call, written ? new Outcome.TimedOut() : waits ? new Outcome.NotSent(false) : new Outcome.Unreached());
+    }
+
+    /** Stops waiting for a connect; its outcome is reported in a later turn. */
+    public void revoke(Connect connect) {
+        Outgoing call = out.get(connect);
+        if (call != null) {
+            abandon(call);
+            loop.execute(() -> end(call, call.link != null && call.link.written ? new Outcome.CalledOff()
+                    : new Outcome.NotSent(false)));
+        }
+    }
+
+    private void abandon(Outgoing call) {
+        staged.remove(call);
+        if (call.link != null) {
+            call.link.call = null;
+            call.link.close();
+        }
+    }
+
+    private void end(Outgoing call, Outcome outcome) {
+        end(call, new CallAnswer(outcome, new double[0], outcome instanceof Outcome.Relayed, true));
+    }
+
+    private void end(Outgoing call, CallAnswer answer) {
+        if (call.over) {
+            return;
+        }
+        call.over = true;
+        call.cut.cancel(false);
+        staged.remove(call);
+        out.remove(call.connect);
+        if (call.link != null && call.link.call == call) {
+            call.link.call = null;
+        }
+        long now = host.turn();
+        if (answer.outcome() instanceof Outcome.Full full && full.pause() > 0) {
+            toldToWait(call.connect.endpoint.route, now + full.pause());
+        }
+        host.ended(call.held, call.connect, answer.outcome(), answer.report(), answer.over());
+    }
+
+    /** Gives the idle connections to this endpoint back. */
+    public void release(Endpoint endpoint) {
+        Pool pool = pools.get(endpoint);
+        if (pool != null) {
+            new ArrayList<>(pool.idle).forEach(Link::close);
+        }
+    }
+
+    /** Ends every call whose bytes are not out. */
+    public void dropUnwritten() {
+        for (Outgoing call : new ArrayList<>(out.values())) {
+            if (call.link == null || !call.link.written) {
+                abandon(call);
+                end(call, new Outcome.NotSent(false));
+            }
+        }
+    }
+
+    /** One connection. */
+    private final class Link extends SimpleChannelInboundHandler<HttpObject> {
+        final Pool pool;
+        Channel channel;
+        Outgoing call;
+        boolean written;
+        boolean answered;
+        private boolean keepAlive = true;
+        private Future<?> idleEnd;
+
+        Link(Pool pool) {
+            this.pool = pool;
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (message.decoderResult().isFailure()) {
+                LOG.log(Level.WARNING, "answer from {0} can''t be read: {1}", pool.address,
+                        message.decoderResult().cause().getMessage());
+                close();
+                return;
+            }
+            if (message instanceof HttpResponse response && response.status().code() >= 200) {
+                keepAlive = HttpUtil.isKeepAlive(response);
+                answered = true;
+                if (call != null) {
+                    CallAnswer answer = codec.answer(response);
+                    if (!answer.understood()) {
+                        LOG.log(Level.WARNING, "answer {0} from {1} is not of the protocol", response.status().code(),
+                                pool.address);
+                    }
+                    end(call, answer);
+                }
+            }
+            if (message instanceof LastHttpContent && answered) {
+                rest();
+            }
+        }
+
+        /** Nothing is out on the connection any more. */
+        void rest() {
+            if (!keepAlive || !channel.isActive() || idleLimit == 0) {
+                close();
+                return;
+            }
+            pool.idle.addLast(this);
+            idle.addLast(this);
+            if (idleFor < Long.MAX_VALUE) {
+                idleEnd = loop.schedule(this::close, idleFor, TimeUnit.MICROSECONDS);
+            }
+            if (idle.size() > idleLimit) {
+                idle.peekFirst().close();
+            }
+        }
+
+        void stopIdling() {
+            if (idleEnd != null) {
+                idleEnd.cancel(false);
+                idleEnd = null;
+            }
+        }
+
+        void close() {
+            stopIdling();
+            pool.idle.remove(this);
+            idle.remove(this);
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            close();
+            if (call != null) {
+                end(call, written ? new Outcome.Broken() : new Outcome.Unreached());
+            }
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/net/Discovery.java
@@ -0,0 +1,199 @@
+package wrenreach.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.MessageToMessageDecoder;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Follows the list of endpoints. While it can't, the node goes on with what it knows. */
+public final class Discovery {
+    private static final System.Logger LOG = System.getLogger(Discovery.class.getName());
+    private static final int LINE_LIMIT = 4 << 20;
+    /** A watch says something every 2 s: two lines missed, and it is made anew. */
+    private static final long SILENCE_MS = 4500, AGAIN_MS = 250;
+
+    /** What discovery reports. */
+    public interface Host {
+        void listed(ListLine line);
+
+        /** A watch or a request that was asked for broke. */
+        void listFailed();
+    }
+
+    private final EventLoop loop;
+    private final Host host;
+    private final InetSocketAddress address;
+    private final boolean again;
+    private final Bootstrap bootstrap;
+    private long index;
+    private boolean silent;
+    private boolean stopped;
+
+    /** again: a broken watch is made anew at once, not only when asked for. */
+    public Discovery(EventLoop loop, Host host, InetSocketAddress address, long index, boolean again) {
+        this.loop = loop;
+        this.host = host;
+        this.address = address;
+        this.index = index;
+        this.again = again;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) SILENCE_MS);
+    }
+
+    /** Asks for changes from the last known version on. */
+    public void follow() {
+        ask("/api/targets?stream=1&index=" + index, new ChannelInitializer<SocketChannel>() {
+            @Override protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
+                        new HttpClientCodec(), new Contents(), new LineBasedFrameDecoder(LINE_LIMIT), new Lines());
+            }
+        });
+    }
+
+    /** Asks once for the whole list. */
+    public void fetch() {
+        ask("/api/targets", new ChannelInitializer<SocketChannel>() {
+            @Override protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
+                        new HttpClientCodec(), new HttpObjectAggregator(LINE_LIMIT), new Whole());
+            }
+        });
+    }
+
+    public void stop() {
+        stopped = true;
+    }
+
+    private void ask(String path, ChannelInitializer<SocketChannel> handlers) {
+        bootstrap.clone().handler(handlers).connect(address).addListener(done -> {
+            if (!done.isSuccess()) {
+                broken("no connection", path.contains("stream"));
+                return;
+            }
+            Channel channel = ((io.netty.channel.ChannelFuture) done).channel();
+            DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+            get.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+            channel.writeAndFlush(get);
+        });
+    }
+
+    private void broken(String why, boolean watch) {
+        if (stopped) {
+            return;
+        }
+        if (!silent) {
+            silent = true;
+            LOG.log(Level.WARNING, "discovery: {0}; going on with list {1}", why, index);
+        }
+        if (again && watch) {
+            loop.schedule(this::follow, AGAIN_MS, TimeUnit.MILLISECONDS);
+        } else {
+            host.listFailed();
+        }
+    }
+
+    private void read(ByteBuf text) {
+        byte[] line = ByteBufUtil.getBytes(text);
+        if (new String(line, java.nio.charset.StandardCharsets.ISO_8859_1).isBlank()) {
+            return;
+        }
+        try {
+            ListLine list = ListReader.read(line);
+            index = list.index();
+            if (silent) {
+                silent = false;
+                LOG.log(Level.INFO, "discovery: heard again, list {0}", index);
+            }
+            host.listed(list);
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "discovery: a line can''t be read: {0}", e.getMessage());
+        }
+    }
+
+    /** The bytes of a watch's body, as they come. */
+    private static final class Contents extends MessageToMessageDecoder<HttpObject> {
+        @Override protected void decode(ChannelHandlerContext ctx, HttpObject message, List<Object> out) {
+            if (message.decoderResult().isFailure()
+                    || message instanceof HttpResponse response && response.status().code() != 200) {
+                ctx.close();
+                return;
+            }
+            if (message instanceof HttpContent content && content.content().isReadable()) {
+                out.add(content.content().retain());
+            }
+            if (message instanceof LastHttpContent) {
+                ctx.close();
+            }
+        }
+    }
+
+    private abstract class Answers<T> extends SimpleChannelInboundHandler<T> {
+        private final boolean watch;
+        boolean done;
+
+        Answers(boolean watch) {
+            this.watch = watch;
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            if (!done) {
+                broken("silent or closed", watch);
+            }
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private final class Lines extends Answers<ByteBuf> {
+        Lines() {
+            super(true);
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
+            read(line);
+        }
+    }
+
+    private final class Whole extends Answers<FullHttpResponse> {
+        Whole() {
+            super(false);
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (response.status().code() == 200) {
+                done = true;
+                read(response.content());
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/net/Door.java
@@ -0,0 +1,186 @@
+package wrenreach.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.redis.FixedRedisMessagePool;
+import io.netty.handler.codec.redis.RedisArrayAggregator;
+import io.netty.handler.codec.redis.RedisBulkStringAggregator;
+import io.netty.handler.codec.redis.RedisDecoder;
+import io.netty.handler.codec.redis.RedisEncoder;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Where clients hand in mails. Replies wait for the end of the turn and go out in the order of the requests. */
+public final class Door {
+    public static final int BODY_LIMIT = 64 * 1024;
+    private static final int LINE_LIMIT = 1024;
+
+    /** What the door reports. */
+    public interface Host {
+        /** A request was read; it is answered by setting its reply before the turn ends. */
+        void asked(Asked asked);
+
+        /** The client of this request went away before it was answered. */
+        void gone(Asked asked);
+
+        /** A new client connection. */
+        void connected();
+    }
+
+    /** One request, until it is answered. */
+    public static final class Asked {
+        public final Request request;
+        private final Client client;
+        private Reply reply;
+
+        Asked(Request request, Client client) {
+            this.request = request;
+            this.client = client;
+        }
+
+        public void answer(Reply answer) {
+            reply = answer;
+        }
+    }
+
+    private final EventLoopGroup loop;
+    private final Host host;
+    private final int limit;
+    /** Least lately used first. */
+    private final Set<Client> clients = new LinkedHashSet<>();
+    private final List<Client> asking = new ArrayList<>();
+    private Channel listener;
+    private boolean closing;
+
+    /** limit: client connections kept at once. */
+    public Door(EventLoopGroup loop, Host host, int limit) {
+        this.loop = loop;
+        this.host = host;
+        this.limit = Math.max(1, limit);
+    }
+
+    public ChannelFuture open(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
+                .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(
+                                new RedisDecoder(LINE_LIMIT, FixedRedisMessagePool.INSTANCE, true),
+                                new SizeGuard(BODY_LIMIT), new RedisBulkStringAggregator(), new RedisArrayAggregator(),
+                                new RequestDecoder(), new RedisEncoder(), new ReplyEncoder(), new Client());
+                    }
+                }).bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    /** Stops listening and closes each client once it has its answers. */
+    public void close() {
+        closing = true;
+        if (listener != null) {
+            listener.close();
+        }
+        new ArrayList<>(clients).forEach(Client::closeIfIdle);
+    }
+
+    /** Sends the replies of the turn. */
+    public void flush() {
+        List<Client> answered = new ArrayList<>(asking);
+        asking.clear();
+        answered.forEach(Client::flushReplies);
+        makeRoom();
+    }
+
+    /** Guards the descriptors: surplus connections between requests are closed, those longest unused first. */
+    private void makeRoom() {
+        Iterator<Client> oldest = new ArrayList<>(clients).iterator();
+        while (clients.size() > limit && oldest.hasNext()) {
+            oldest.next().closeIfIdle();
+        }
+    }
+
+    private final class Client extends SimpleChannelInboundHandler<Request> {
+        private final List<Asked> open = new ArrayList<>(2);
+        private ChannelHandlerContext ctx;
+        private boolean closed;
+
+        @Override public void channelActive(ChannelHandlerContext context) {
+            ctx = context;
+            clients.add(this);
+            host.connected();
+            if (clients.size() > limit) {
+                makeRoom();
+            }
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext context, Request request) {
+            if (closed) {
+                return;
+            }
+            clients.remove(this);
+            clients.add(this);
+            if (open.isEmpty()) {
+                asking.add(this);
+            }
+            Asked asked = new Asked(request, this);
+            open.add(asked);
+            host.asked(asked);
+        }
+
+        private void flushReplies() {
+            boolean close = closing;
+            for (Asked asked : open) {
+                if (asked.reply != null && !closed) {
+                    ctx.write(asked.reply);
+                    close |= asked.reply instanceof Reply.Error error && error.close();
+                }
+            }
+            open.clear();
+            if (!closed) {
+                ctx.flush();
+            }
+            if (close) {
+                closeIfIdle();
+            }
+        }
+
+        private void closeIfIdle() {
+            if (open.isEmpty() && !closed) {
+                closed = true;
+                clients.remove(this);
+                ctx.close();
+            }
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext context) {
+            closed = true;
+            clients.remove(this);
+            List<Asked> unanswered = new ArrayList<>(open);
+            open.clear();
+            unanswered.forEach(host::gone);
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof io.netty.handler.codec.DecoderException && !closed) {
+                channelRead0(context, new Request.Unreadable("malformed request", true));
+            } else {
+                context.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/net/Notices.java
@@ -0,0 +1,190 @@
+package wrenreach.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import wrenreach.held.HeldMail;
+
+/** Tells the platform of mails that ended undelivered, again and again until it answers. */
+public final class Notices {
+    private static final System.Logger LOG = System.getLogger(Notices.class.getName());
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final long ANSWER_MS = 1000, AGAIN_MS = 100;
+    /** Notices in one post; each is far shorter than its part of a body's limit. */
+    private static final int BATCH = 200;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Consumer<HeldMail> heard;
+    private final Set<HeldMail> untold = new LinkedHashSet<>();
+    private List<HeldMail> posted = List.of();
+    private Channel channel;
+    private boolean opening;
+    private boolean failing;
+    private Future<?> patience;
+
+    /** heard: told of each mail whose notice was answered. */
+    public Notices(EventLoop loop, InetSocketAddress address, Consumer<HeldMail> heard) {
+        this.loop = loop;
+        this.address = address;
+        this.heard = heard;
+    }
+
+    public void add(HeldMail held) {
+        untold.add(held);
+    }
+
+    /** Endings that the platform has not confirmed. */
+    public Set<HeldMail> untold() {
+        return untold;
+    }
+
+    /** Posts what is untold, one post at a time. */
+    public void flush() {
+        if (untold.isEmpty() || !posted.isEmpty() || opening) {
+            return;
+        }
+        if (channel == null || !channel.isActive()) {
+            open();
+            return;
+        }
+        posted = untold.stream().limit(BATCH).toList();
+        DefaultFullHttpRequest post = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v2/finals",
+                Unpooled.wrappedBuffer(body(posted)));
+        post.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort())
+                .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson")
+                .set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(post.content().readableBytes()));
+        patience = loop.schedule(() -> broken("no answer"), ANSWER_MS, TimeUnit.MILLISECONDS);
+        channel.writeAndFlush(post);
+    }
+
+    static byte[] body(List<HeldMail> ended) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            for (HeldMail held : ended) {
+                try (JsonGenerator out = JSON.createGenerator(bytes)) {
+                    out.writeStartObject();
+                    out.writeStringField("id", held.submission.id());
+                    out.writeStringField("status", held.ending.deferred() ? "deferred" : "undeliverable");
+                    if (held.ending.deferred() && held.ending.retryAfterMs() > 0) {
+                        out.writeNumberField("again_ms", held.ending.retryAfterMs());
+                    }
+                    out.writeEndObject();
+                }
+                bytes.write('\n');
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private void open() {
+        opening = true;
+        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override protected void initChannel(SocketChannel fresh) {
+                        fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(1 << 16), new Answers());
+                    }
+                }).connect(address).addListener(done -> {
+                    opening = false;
+                    if (done.isSuccess()) {
+                        channel = ((io.netty.channel.ChannelFuture) done).channel();
+                        flush();
+                    } else {
+                        broken("no connection");
+                    }
+                });
+    }
+
+    /** Guards endings while the platform can't be reached: they stay, and go again after a short pause. */
+    private void broken(String why) {
+        if (!failing) {
+            failing = true;
+            LOG.log(Level.WARNING, "notices: {0}; {1} kept and sent again", why, untold.size());
+        }
+        posted = List.of();
+        if (patience != null) {
+            patience.cancel(false);
+        }
+        if (channel != null) {
+            Channel old = channel;
+            channel = null;
+            old.close();
+        }
+        loop.schedule(this::flush, AGAIN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void answered(FullHttpResponse response) {
+        if (response.status().code() != 204) {
+            broken("answer " + response.status().code());
+            return;
+        }
+        patience.cancel(false);
+        if (failing) {
+            failing = false;
+            LOG.log(Level.INFO, "notices: answered again");
+        }
+        List<HeldMail> told = new ArrayList<>(posted);
+        posted = List.of();
+        told.forEach(untold::remove);
+        told.forEach(heard);
+        if (!HttpUtil.isKeepAlive(response)) {
+            channel.close();
+            channel = null;
+        }
+        flush();
+    }
+
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (ctx.channel() == channel && !posted.isEmpty()) {
+                answered(response);
+            }
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                channel = null;
+                if (!posted.isEmpty()) {
+                    broken("connection closed");
+                }
+            }
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/node/Config.java
@@ -0,0 +1,136 @@
+package wrenreach.node;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import wrenreach.api.Settings;
+import wrenreach.net.Addresses;
+import wrenreach.net.ListLine;
+import wrenreach.net.ListReader;
+import wrenreach.wire.SettingsText;
+
+/** What a delivery node is told at its start. The names stand in the order of the settings' numbers. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int descriptors,
+                     long diskBytes, ListLine known, Settings settings, List<String> queueClasses,
+                     List<String> tenants, List<String> kinds, List<String> zones, List<String> reportNames) {
+    /** The config can't be used; the message is for the one who starts the node. */
+    public static final class Unusable extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Unusable(String message) {
+            super(message);
+        }
+    }
+
+    // A protocol that carries one mail a call has no calls of several: kinds are read as if they allowed one.
+    private static final String BATCH = "FamilyInfo.BatchByKind";
+
+    /** Reads the file; environment: GW_LISTEN and GW_DISCOVERY there go before the file's. */
+    public static Config read(Path file, Map<String, String> environment) throws Unusable {
+        try {
+            return parse(Files.readAllBytes(file), environment);
+        } catch (IOException | IllegalArgumentException e) {
+            String why = e instanceof java.nio.file.NoSuchFileException ? "no such file" : e.getMessage();
+            throw new Unusable("config " + file + ": " + String.valueOf(why).lines().findFirst().orElse(""));
+        }
+    }
+
+    static Config parse(byte[] json, Map<String, String> environment) throws IOException {
+        Map<String, String> flat = new LinkedHashMap<>();
+        ListLine known = new ListLine(0, true, List.of());
+        try (JsonParser in = new JsonFactory().createParser(json)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new IllegalArgumentException("expected an object");
+            }
+            while (in.nextToken() != JsonToken.END_OBJECT) {
+                String field = in.currentName();
+                in.nextToken();
+                if (field.equals("known")) {
+                    known = ListReader.read(in);
+                } else {
+                    flatten(in, field, flat);
+                }
+            }
+        }
+        Map<String, String> settings = new LinkedHashMap<>();
+        flat.forEach((path, value) -> {
+            if (path.startsWith("settings.") && !path.equals("settings." + BATCH)) {
+                settings.put(path.substring("settings.".length()), value);
+            }
+        });
+        StringBuilder text = new StringBuilder();
+        settings.forEach((path, value) -> text.append(path).append('=').append(value).append('\n'));
+        long seed = Long.parseUnsignedLong(flat.getOrDefault("seed", "0"), 16);
+        return new Config(flat.getOrDefault("name", "node"),
+                Addresses.parse(environment.getOrDefault("GW_LISTEN", needed(flat, "listen"))),
+                Addresses.parse(environment.getOrDefault("GW_DISCOVERY", needed(flat, "discovery"))),
+                (int) number(flat, "limits.sockets"), (long) (1_000_000 * number(flat, "limits.disk_mb")), known,
+                SettingsText.read(text.toString(), seed), names(settings, "Classes"), names(settings, "Tenants"),
+                list(settings, "Kinds"), list(settings, "Areas"), list(settings, "Feedback.Names"));
+    }
+
+    /** Puts each plain value under its path; lists of plain values are joined, lists of objects are numbered. */
+    private static void flatten(JsonParser in, String path, Map<String, String> flat) throws IOException {
+        if (in.currentToken() == JsonToken.START_OBJECT) {
+            while (in.nextToken() != JsonToken.END_OBJECT) {
+                String field = in.currentName();
+                in.nextToken();
+                flatten(in, path + "." + field, flat);
+            }
+        } else if (in.currentToken() == JsonToken.START_ARRAY) {
+            List<String> plain = new ArrayList<>();
+            int count = 0;
+            for (; in.nextToken() != JsonToken.END_ARRAY; count++) {
+                if (in.currentToken().isStructStart()) {
+                    flatten(in, path + "." + count, flat);
+                } else {
+                    plain.add(in.getText().replace(',', '_'));
+                }
+            }
+            flat.put(path + ".count", Integer.toString(count));
+            if (plain.size() == count) {
+                flat.put(path, String.join(",", plain));
+            }
+        } else if (in.currentToken() != JsonToken.VALUE_NULL) {
+            flat.put(path, in.getText().replace('\n', ' '));
+        }
+    }
+
+    private static String needed(Map<String, String> flat, String path) {
+        String value = flat.get(path);
+        if (value == null) {
+            throw new IllegalArgumentException(path + " is missing");
+        }
+        return value;
+    }
+
+    private static double number(Map<String, String> flat, String path) {
+        double value = Double.parseDouble(needed(flat, path));
+        if (!(value > 0)) {
+            throw new IllegalArgumentException(path + " is not above 0");
+        }
+        return value;
+    }
+
+    private static List<String> names(Map<String, String> settings, String path) {
+        List<String> names = new ArrayList<>();
+        int count = Integer.parseInt(settings.getOrDefault(path + ".count", "0"));
+        for (int i = 0; i < count; i++) {
+            names.add(settings.getOrDefault(path + "." + i + ".Name", ""));
+        }
+        return names;
+    }
+
+    private static List<String> list(Map<String, String> settings, String path) {
+        String joined = settings.getOrDefault(path, "");
+        return joined.isEmpty() ? List.of() : List.of(joined.split(","));
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/node/Main.java
@@ -0,0 +1,127 @@
+package wrenreach.node;
+
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import sun.misc.Signal;
+import wrenreach.Choice;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Journal;
+import wrenreach.wirehost.WireHost;
+
+/** The command line. */
+public final class Main {
+    private static final String USAGE = """
+            usage: java -jar wrenreach.jar COMMAND [options]
+              serve     runs a delivery node: --config FILE (or GW_CONFIG), --state FOLDER (or GW_STATE)
+              held      prints what a state folder owes: --state FOLDER (or GW_STATE)
+              wirehost  hosts delivery nodes on the simulator's wire, from standard input to standard output
+              version   prints the version
+              help      prints this page
+            """;
+
+    private Main() { }
+
+    public static void main(String[] args) {
+        System.exit(run(args, System.getenv()));
+    }
+
+    static int run(String[] args, Map<String, String> environment) {
+        String command = args.length == 0 ? "" : args[0];
+        try {
+            Options known = new Options();
+            if (command.equals("serve")) {
+                known.addOption(Option.builder().longOpt("config").hasArg().get());
+            }
+            if (command.equals("serve") || command.equals("held")) {
+                known.addOption(Option.builder().longOpt("state").hasArg().get());
+            }
+            CommandLine line = new DefaultParser().parse(known, args);
+            if (line.getArgList().size() != 1) {
+                throw new ParseException(command.isEmpty() ? "no command" : "too many arguments");
+            }
+            switch (command) {
+                case "serve":
+                    return serve(path(line, "config", environment), path(line, "state", environment), environment);
+                case "held":
+                    return held(path(line, "state", environment));
+                case "wirehost":
+                    return new WireHost(System.in, System.out, System.err, Choice::new).run();
+                case "version":
+                    String version = Main.class.getPackage().getImplementationVersion();
+                    System.out.println("wrenreach " + (version == null ? "(not packaged)" : version));
+                    return 0;
+                case "help":
+                    System.out.print(USAGE);
+                    return 0;
+                default:
+                    throw new ParseException("unknown command " + command);
+            }
+        } catch (ParseException e) {
+            System.err.println("wrenreach: " + e.getMessage());
+            System.err.print(USAGE);
+            return 2;
+        }
+    }
+
+    private static Path path(CommandLine line, String option, Map<String, String> environment) throws ParseException {
+        String variable = "GW_" + option.toUpperCase(java.util.Locale.ROOT);
+        String value = line.getOptionValue(option, environment.get(variable));
+        if (value == null || value.isEmpty()) {
+            throw new ParseException("neither --" + option + " nor " + variable + " is set");
+        }
+        return Path.of(value);
+    }
+
+    private static int serve(Path file, Path state, Map<String, String> environment) {
+        System.getProperties().putIfAbsent("java.util.logging.SimpleFormatter.format",
+                "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        Config config;
+        try {
+            config = Config.read(file, environment);
+        } catch (Config.Unusable e) {
+            System.err.println("wrenreach: " + e.getMessage());
+            return 2;
+        }
+        Journal journal;
+        try {
+            Files.createDirectories(state);
+            journal = Journal.open(state, config.diskBytes());
+        } catch (IOException e) {
+            System.err.println("wrenreach: state folder " + state + " can't be used: " + e.getMessage());
+            return 1;
+        }
+        DeliveryNode node = new DeliveryNode(config, journal, Choice::new);
+        Signal.handle(new Signal("TERM"), signal -> node.stop());
+        Signal.handle(new Signal("INT"), signal -> node.stop());
+        return node.start().join();
+    }
+
+    private static int held(Path state) {
+        try {
+            List<HeldMail> owed = Journal.read(state);
+            for (HeldMail mail : owed) {
+                String end = mail.ending == null ? "" : mail.ending.deferred() ? " deferred" : " undeliverable";
+                System.out.printf("%s class=%s dest=%d until=%s connects=%d bytes=%d%s%n", mail.submission.id(),
+                        mail.submission.queueClass(), mail.submission.destination(),
+                        java.time.Instant.ofEpochMilli(mail.endsBy / 1000), mail.connects.size(),
+                        mail.submission.body().length, end);
+            }
+            System.out.println(owed.size() + " mails owed");
+            return 0;
+        } catch (IOException e) {
+            System.err.println("wrenreach: state folder " + state + " can't be read: " + e.getMessage());
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wrenreach/node/Phase.java
@@ -0,0 +1,27 @@
+package wrenreach.node;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/** Where a node stands between start and exit. */
+enum Phase {
+    STARTING, RECOVERING, SERVING, DRAINING, STOPPED;
+
+    private Set<Phase> following() {
+        return switch (this) {
+            case STARTING -> EnumSet.of(RECOVERING, STOPPED);
+            case RECOVERING -> EnumSet.of(SERVING, STOPPED);
+            case SERVING -> EnumSet.of(DRAINING, STOPPED);
+            case DRAINING -> EnumSet.of(STOPPED);
+            case STOPPED -> EnumSet.noneOf(Phase.class);
+        };
+    }
+
+    /** The phase moved to; IllegalStateException where this one can't be followed by it. */
+    Phase to(Phase next) {
+        if (!following().contains(next)) {
+            throw new IllegalStateException(this + " can't be followed by " + next);
+        }
+        return next;
+    }
+}
--- a/src/main/java/wrenreach/wirehost/Node.java
+++ b/src/main/java/wrenreach/wirehost/Node.java
@@ -8,6 +8,7 @@
 import wrenreach.api.Dispatcher;
 import wrenreach.api.Listing;
 import wrenreach.api.Outcome;
+import wrenreach.held.Directory;
 import wrenreach.state.Connect;
 import wrenreach.state.Destination;
 import wrenreach.state.Endpoint;
@@ -22,10 +23,7 @@
     private final int life;
     private final Dispatcher module;
     private final Map<Long, Mail> mails = new HashMap<>();
-    private final Map<Long, OrderKey> keys = new HashMap<>();
-    private final Map<Integer, Destination> destinations = new HashMap<>();
-    private final Map<Long, Endpoint> endpoints = new HashMap<>();
-    private int sweepAt = 64;
+    private final Directory<Long> directory = new Directory<>();
     private final List<Answer> answers = new ArrayList<>();
 
     Node(int number, int life, Dispatcher module) {
@@ -37,17 +35,17 @@
     void view(Event.View view, List<Event.Host> hosts, long now) {
         List<Listing.Entry> entries = new ArrayList<>(hosts.size());
         for (Event.Host host : hosts) {
-            Destination to = destination(host.dest());
-            Endpoint endpoint = endpoints.computeIfAbsent(host.endpoint(),
-                    address -> new Endpoint(address, to, host.sku(), host.zone()));
+            Destination to = directory.destination(host.dest());
+            Endpoint endpoint = directory.endpoint(host.endpoint(),
+                    () -> new Endpoint(host.endpoint(), to, host.sku(), host.zone()));
             entries.add(new Listing.Entry(endpoint, state(host.availability()), host.share()));
         }
         answers.addAll(module.listed(new Listing(Listing.Scope.values()[view.scope()], entries), now));
     }
 
     void req(Event.Req req, long now) {
-        OrderKey key = req.subject() == 0 ? null : keys.computeIfAbsent(req.subject(), k -> new OrderKey());
-        Mail mail = new Mail(req.call(), destination(req.dest()), key, req.type(), (int) req.client(), now,
+        OrderKey key = req.subject() == 0 ? null : directory.key(req.subject());
+        Mail mail = new Mail(req.call(), directory.destination(req.dest()), key, req.type(), (int) req.client(), now,
                 now + req.expiresIn());
         mails.put(req.call(), mail);
         answers.addAll(module.admit(mail, now));
@@ -72,10 +70,7 @@
     }
 
     void next(long now) {
-        if (keys.size() >= sweepAt) {
-            keys.values().removeIf(key -> key.mails.isEmpty() && key.restsUntil <= now);
-            sweepAt = 2 * keys.size() + 64;
-        }
+        directory.sweepKeys(now);
         answers.addAll(module.next(now));
     }
 
@@ -113,10 +108,6 @@
         }
     }
 
-    private Destination destination(int number) {
-        return destinations.computeIfAbsent(number, Destination::new);
-    }
-
     private static Listing.State state(int availability) {
         return switch (availability) {
             case 1 -> Listing.State.READY;
