--- a/src/main/java/wrenreach/held/Journal.java
+++ b/src/main/java/wrenreach/held/Journal.java
@@ -34,6 +34,7 @@
     private final long fileLimit;
     private final long owedLimit;
     private final Map<String, HeldMail> owed;
+    private final boolean resumed;
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream(1 << 12);
     private FileChannel channel;
     private long size;
@@ -46,6 +47,7 @@
         owedLimit = (long) (limit * OWED_PART);
         this.owed = owed;
         this.size = size;
+        resumed = size > 0;
         owed.values().forEach(held -> owedBytes += held.bytes);
         Files.deleteIfExists(next);
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -66,6 +68,11 @@
         return new ArrayList<>(owed.values());
     }
 
+    /** Whether an earlier process left records here. */
+    public boolean resumed() {
+        return resumed;
+    }
+
     /** What is owed, in the order taken on. */
     public List<HeldMail> owed() {
         return new ArrayList<>(owed.values());
--- a/src/main/java/wrenreach/net/Calls.java
+++ b/src/main/java/wrenreach/net/Calls.java
@@ -274,7 +274,7 @@
         }
     }
 
-    /** Ends every call whose bytes are not out. */
+    /** Ends every call whose bytes are not out: at a planned stop nothing new goes out. */
     public void dropUnwritten() {
         for (Outgoing call : new ArrayList<>(out.values())) {
             if (call.link == null || !call.link.written) {
--- a/src/main/java/wrenreach/net/Door.java
+++ b/src/main/java/wrenreach/net/Door.java
@@ -34,9 +34,6 @@
 
         /** The client of this request went away before it was answered. */
         void gone(Asked asked);
-
-        /** A new client connection. */
-        void connected();
     }
 
     /** One request, until it is answered. */
@@ -122,7 +119,6 @@
         @Override public void channelActive(ChannelHandlerContext context) {
             ctx = context;
             clients.add(this);
-            host.connected();
             if (clients.size() > limit) {
                 makeRoom();
             }
--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -1,11 +1,13 @@
 package wrenreach.node;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
@@ -50,8 +52,11 @@
     private static final System.Logger LOG = System.getLogger(DeliveryNode.class.getName());
     /** Descriptors kept for files, the loop, discovery and notices; connections that may idle, a slot. */
     private static final int OWN_DESCRIPTORS = 64, IDLE_A_SLOT = 8;
-    /** A planned stop: quiet front, then no new calls, then the end, all after the signal. */
-    private static final long QUIET_MS = 300, FRONT_MS = 700, LAST_SEND_MS = 1500, EXIT_MS = 3000, LOOK_MS = 20;
+    /**
+     * A planned stop, counted from the signal: until when the front may still send, until when calls go out
+     * (so that most of them end in time), and the end, well before the kill 3.7 s after the signal.
+     */
+    private static final long FRONT_MS = 600, LAST_SEND_MS = 1800, EXIT_MS = 3200, LOOK_MS = 20;
 
     private final Config config;
     private final Settings settings;
@@ -71,6 +76,7 @@
     /** Mails in their first turn and who waits for the answer. */
     private final Map<HeldMail, Door.Asked> fresh = new LinkedHashMap<>();
     private final List<Answer> answers = new ArrayList<>();
+    private final CompletableFuture<InetSocketAddress> serving = new CompletableFuture<>();
     private final CompletableFuture<Integer> stopped = new CompletableFuture<>();
     private Phase phase = Phase.STARTING;
     private boolean turning;
@@ -79,8 +85,8 @@
     private long keysRestUntil;
     private boolean full;
     private long drainSince;
-    private long connectedAt;
     private boolean doorOpen;
+    private boolean sending = true;
 
     DeliveryNode(Config config, Journal journal, Function<Settings, Dispatcher> module) {
         this.config = config;
@@ -95,15 +101,25 @@
         discovery = new Discovery(loop, this, config.discovery(), config.known().index(), !settings.listOnRequest());
     }
 
-    /** Starts; the result is the exit code, once the node has stopped. */
-    CompletableFuture<Integer> start() {
+    void start() {
         loop.execute(this::recover);
+    }
+
+    /** The exit code, once the node has stopped. */
+    CompletableFuture<Integer> stopped() {
         return stopped;
     }
 
+    /** Where the node listens, once it serves. */
+    CompletableFuture<InetSocketAddress> serving() {
+        return serving;
+    }
+
     /** Begins a planned stop; safe from any thread. */
     void stop() {
-        loop.execute(this::drain);
+        if (!group.isShuttingDown()) {
+            loop.execute(this::drain);
+        }
     }
 
     private void move(Phase next) {
@@ -119,13 +135,14 @@
         list(config.known(), Listing.Scope.CACHED);
         List<HeldMail> owed = journal.owed();
         // Guards the rest of keys whose last connect the earlier process saw time out or break.
-        keysRestUntil = owed.isEmpty() ? 0 : now + settings.rules().orderSettle();
+        keysRestUntil = journal.resumed() ? now + settings.rules().orderSettle() : 0;
         int untold = 0;
         for (HeldMail mail : owed) {
             if (mail.ending == null) {
                 resume(mail);
             } else {
                 mail.mail = mail(mail, now);
+                mail.mail.sequence = -1; // Before all that the module numbers: its key waits for the notice.
                 hold(mail);
                 notices.add(mail);
                 untold++;
@@ -139,9 +156,11 @@
         }
         endTurn();
         doorOpen = true;
-        door.open(config.listen()).addListener(done -> {
+        ChannelFuture listening = door.open(config.listen());
+        listening.addListener(done -> {
             if (done.isSuccess()) {
                 move(Phase.SERVING);
+                serving.complete((InetSocketAddress) listening.channel().localAddress());
             } else {
                 LOG.log(Level.ERROR, "can''t listen on {0}: {1}", config.listen(), done.cause().getMessage());
                 finish(1);
@@ -154,7 +173,7 @@
         int queueClass = config.queueClasses().indexOf(owed.submission.queueClass());
         if (queueClass < 0) {
             LOG.log(Level.WARNING, "an owed mail is of the unknown queue class {0}", owed.submission.queueClass());
-            owed.mail = new Mail(0, directory.destination(owed.submission.destination()), null, 0, -1, now, now);
+            owed.mail = new Mail(-1, directory.destination(owed.submission.destination()), null, 0, -1, now, now);
             hold(owed);
             end(owed, new Ending(false, 0));
             return;
@@ -207,9 +226,28 @@
         if (!turning || phase == Phase.STOPPED) {
             return;
         }
+        try {
+            decide();
+            journal.write();
+        } catch (IOException | RuntimeException e) {
+            // Guards what is owed: a node that can't record or decide stops, and the journal keeps the rest.
+            LOG.log(Level.ERROR, "turn failed, the node stops", e);
+            finish(1);
+            return;
+        }
+        // What goes wrong while bytes go out is the next turn's.
+        turning = false;
+        door.flush();
+        calls.flush(now);
+        notices.flush();
+    }
+
+    private void decide() {
         calls.dropForbidden();
         directory.sweepKeys(now);
-        answers.addAll(module.next(now));
+        if (sending) {
+            answers.addAll(module.next(now));
+        }
         for (Answer answer : List.copyOf(answers)) {
             carryOut(answer);
         }
@@ -220,18 +258,6 @@
         });
         fresh.clear();
         calls.choose();
-        try {
-            journal.write();
-        } catch (IOException e) {
-            LOG.log(Level.ERROR, "journal can''t be written: {0}", e.getMessage());
-            finish(1);
-            return;
-        }
-        // What goes wrong while bytes go out is the next turn's.
-        turning = false;
-        door.flush();
-        calls.flush(now);
-        notices.flush();
     }
 
     private void carryOut(Answer answer) {
@@ -279,10 +305,6 @@
 
     // ---- Clients ----
 
-    @Override public void connected() {
-        connectedAt = clock.now();
-    }
-
     @Override public void asked(Door.Asked asked) {
         turn();
         if (asked.request instanceof Request.Ping) {
@@ -424,20 +446,23 @@
         }
         move(Phase.DRAINING);
         drainSince = clock.now();
-        connectedAt = drainSince;
         look();
     }
 
-    /** Goes on serving while the front still sends, then only ends what is out. */
+    /** Goes on serving while the front still sends, then with what is held, then only ends what is out. */
     private void look() {
         long passed = (clock.now() - drainSince) / 1000;
-        long quiet = (clock.now() - connectedAt) / 1000;
-        if (doorOpen && (quiet >= QUIET_MS || passed >= FRONT_MS)) {
+        if (doorOpen && passed >= FRONT_MS) {
             doorOpen = false;
             door.close();
         }
-        boolean idle = held.isEmpty() && notices.untold().isEmpty();
-        if (!doorOpen && (idle || passed >= EXIT_MS || passed >= LAST_SEND_MS && calls.underWay() == 0)) {
+        if (sending && passed >= LAST_SEND_MS) {
+            sending = false;
+            turn();
+            calls.dropUnwritten();
+        }
+        boolean quiet = calls.underWay() == 0 && notices.untold().isEmpty() && !turning;
+        if (passed >= EXIT_MS || !doorOpen && quiet && (!sending || held.isEmpty())) {
             finish(0);
         } else {
             loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
@@ -457,6 +482,7 @@
         } catch (IOException e) {
             LOG.log(Level.ERROR, "journal can''t be closed: {0}", e.getMessage());
         }
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
         stopped.complete(code);
     }
 }
--- a/src/main/java/wrenreach/node/Main.java
+++ b/src/main/java/wrenreach/node/Main.java
@@ -22,7 +22,8 @@
 public final class Main {
     private static final String USAGE = """
             usage: java -jar wrenreach.jar COMMAND [options]
-              serve     runs a delivery node: --config FILE (or GW_CONFIG), --state FOLDER (or GW_STATE)
+              serve     runs a delivery node: --config FILE (or GW_CONFIG), --state FOLDER (or GW_STATE);
+                        with --check it starts, says what is wrong if anything, and stops
               held      prints what a state folder owes: --state FOLDER (or GW_STATE)
               wirehost  hosts delivery nodes on the simulator's wire, from standard input to standard output
               version   prints the version
@@ -41,6 +42,7 @@
             Options known = new Options();
             if (command.equals("serve")) {
                 known.addOption(Option.builder().longOpt("config").hasArg().get());
+                known.addOption(Option.builder().longOpt("check").get());
             }
             if (command.equals("serve") || command.equals("held")) {
                 known.addOption(Option.builder().longOpt("state").hasArg().get());
@@ -51,7 +53,8 @@
             }
             switch (command) {
                 case "serve":
-                    return serve(path(line, "config", environment), path(line, "state", environment), environment);
+                    return serve(path(line, "config", environment), path(line, "state", environment),
+                            line.hasOption("check"), environment);
                 case "held":
                     return held(path(line, "state", environment));
                 case "wirehost":
@@ -82,7 +85,7 @@
         return Path.of(value);
     }
 
-    private static int serve(Path file, Path state, Map<String, String> environment) {
+    private static int serve(Path file, Path state, boolean check, Map<String, String> environment) {
         System.getProperties().putIfAbsent("java.util.logging.SimpleFormatter.format",
                 "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
@@ -104,7 +107,11 @@
         DeliveryNode node = new DeliveryNode(config, journal, Choice::new);
         Signal.handle(new Signal("TERM"), signal -> node.stop());
         Signal.handle(new Signal("INT"), signal -> node.stop());
-        return node.start().join();
+        if (check) {
+            node.serving().thenRun(node::stop);
+        }
+        node.start();
+        return node.stopped().join();
     }
 
     private static int held(Path state) {
--- a/src/test/java/wrenreach/ChoiceTest.java
+++ b/src/test/java/wrenreach/ChoiceTest.java
@@ -10,6 +10,7 @@
 import wrenreach.api.Settings.Effect;
 import wrenreach.api.Settings.RepeatGroup;
 import wrenreach.state.Breaker;
+import wrenreach.state.Call;
 import wrenreach.state.Connect;
 import wrenreach.state.Destination;
 import wrenreach.state.Endpoint;
@@ -111,6 +112,45 @@
         breaker().restsUntil = s.now + 5000 * Setup.MS;
     }
 
+    // ---- Recovery ----
+
+    /** A mail that an earlier process sent so many times, this long ago, none of them answered. */
+    private Mail recovered(Endpoint at, int times, long ago, boolean neverRan) {
+        Mail m = new Mail(99, s.to, null, 0, 0, s.now, s.now + 20_000 * Setup.MS);
+        for (int i = 0; i < times; i++) {
+            long sentAt = s.now - ago * Setup.MS;
+            Connect c = new Connect(m, at, sentAt, sentAt, new Call(sentAt));
+            c.open = false;
+            c.neverRan = neverRan;
+            m.connects.add(c);
+        }
+        s.answers.addAll(s.choice().admit(m, s.now));
+        return m;
+    }
+
+    @Test void aRecoveredOnceOnlyMailThatMayHaveRunIsBounced() {
+        s.effect = Effect.ONCE_ONLY;
+        recovered(s.endpoint(1, 0), 1, 100, false);
+        assertThat(s.turn(5)).isEmpty();
+        assertThat(s.ever(Answer.Bounce.class)).hasSize(1);
+    }
+
+    @Test void aRecoveredTaggedMailGoesAgainInItsWindowOnly() {
+        Endpoint e = s.endpoint(1, 0);
+        Mail within = recovered(e, 1, 1000, false);
+        assertThat(s.turn(5)).extracting(c -> c.mail).containsExactly(within);
+        recovered(e, 1, 9000, false);
+        assertThat(s.turn(5)).isEmpty();
+        assertThat(s.ever(Answer.Bounce.class)).hasSize(1);
+    }
+
+    @Test void recoveredConnectsCountAmongTheTries() {
+        s.tries = 3;
+        Mail m = recovered(s.endpoint(1, 0), 3, 1000, true);
+        assertThat(s.turn(5)).isEmpty();
+        assertThat(m.connects).hasSize(3);
+    }
+
     // ---- The rules ----
 
     @Test void nothingGoesToADrainingEndpoint() {
--- /dev/null
+++ b/src/test/java/wrenreach/net/CodecTest.java
@@ -0,0 +1,195 @@
+package wrenreach.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.redis.FixedRedisMessagePool;
+import io.netty.handler.codec.redis.RedisArrayAggregator;
+import io.netty.handler.codec.redis.RedisBulkStringAggregator;
+import io.netty.handler.codec.redis.RedisDecoder;
+import io.netty.handler.codec.redis.RedisEncoder;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import wrenreach.api.Outcome;
+import wrenreach.held.Ending;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Submission;
+
+class CodecTest {
+    private static final Submission MAIL =
+            new Submission("9b1f", "7f3a", "notice", "acme", "5c0f", 7, new byte[] {0, 13, 10, -1});
+    private final EmbeddedChannel door = new EmbeddedChannel(
+            new RedisDecoder(1024, FixedRedisMessagePool.INSTANCE, true), new SizeGuard(64),
+            new RedisBulkStringAggregator(), new RedisArrayAggregator(), new RequestDecoder(), new RedisEncoder(),
+            new ReplyEncoder());
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    }
+
+    private static String enqueue(String key, String id, String fields, String body) {
+        StringBuilder text = new StringBuilder("*5\r\n");
+        for (String word : List.of("ENQUEUE", key, id, fields, body)) {
+            text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        return text.toString();
+    }
+
+    @Test void aMailIsDecodedWhateverItsBodyAndHoweverItIsCut() {
+        String text = enqueue("7f3a", "9b1f", "c=notice,t=acme,d=8000,k=5c0f,dest=7,again=1", "\0\r\n\u00ff");
+        for (char c : text.toCharArray()) {
+            door.writeInbound(bytes(String.valueOf(c)));
+        }
+        Request.HandIn handIn = door.readInbound();
+        assertThat(handIn.lifetimeMs()).isEqualTo(8000);
+        assertThat(handIn.submission()).usingRecursiveComparison().isEqualTo(MAIL);
+    }
+
+    @Test void zerosAreNoKeyAndPipelinedRequestsKeepTheirOrder() {
+        door.writeInbound(bytes(enqueue("0000", "a", "c=n,d=1,dest=1", "") + "*1\r\n$4\r\nping\r\n"));
+        assertThat(((Request.HandIn) door.readInbound()).submission().key()).isEmpty();
+        assertThat((Object) door.readInbound()).isEqualTo(new Request.Ping());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"c=n,dest=1", "c=n,d=-5,dest=1", "c=n,d=x,dest=1", "c=n,d=1", "c=n,d=1,dest=-2", "d=1,dest=1,k=a b"})
+    void malformedFieldsAreRefusedAndTheConnectionStays(String fields) {
+        door.writeInbound(bytes(enqueue("0", "a", fields, "x")));
+        assertThat((Object) door.readInbound()).isEqualTo(new Request.Unreadable("malformed fields", false));
+    }
+
+    /** Guards the headers of calls: an id with a line end would write headers of its own. */
+    @Test void anIdThatIsNoWordIsRefused() {
+        door.writeInbound(bytes(enqueue("0", "a\r\nX: 1", "c=n,d=1,dest=1", "x")));
+        assertThat((Object) door.readInbound()).isInstanceOf(Request.Unreadable.class);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"*2\r\n$4\r\nPING\r\n$65\r\n", "*17\r\n"})
+    void whatAnnouncesTooMuchIsRefusedBeforeItIsRead(String text) {
+        door.writeInbound(bytes(text));
+        assertThat((Object) door.readInbound()).isEqualTo(new Request.Unreadable("request too large", true));
+        door.writeInbound(bytes("x".repeat(65) + "\r\n"));
+        assertThat((Object) door.readInbound()).isNull();
+    }
+
+    @Test void whatIsNoCommandIsRefused() {
+        door.writeInbound(bytes("GET / HTTP/1.1\r\n"));
+        assertThat(((Request.Unreadable) door.readInbound()).close()).isTrue();
+        door.writeInbound(bytes("*1\r\n$3\r\nFOO\r\n"));
+        assertThat((Object) door.readInbound()).isEqualTo(new Request.Unreadable("unknown command", false));
+    }
+
+    private String reply(Reply reply) {
+        door.writeOutbound(reply);
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf out = door.readOutbound(); out != null; out = door.readOutbound()) {
+            text.append(out.toString(StandardCharsets.US_ASCII));
+            out.release();
+        }
+        return text.toString();
+    }
+
+    @Test void repliesHaveTheFormsOfTheProtocol() {
+        assertThat(reply(new Reply.Taken())).isEqualTo("+OK\r\n");
+        assertThat(reply(new Reply.Pong())).isEqualTo("+PONG\r\n");
+        assertThat(reply(new Reply.Busy(0))).isEqualTo("-BUSY\r\n");
+        assertThat(reply(new Reply.Busy(250))).isEqualTo("-BUSY 250\r\n");
+        assertThat(reply(new Reply.Error("unknown class", false))).isEqualTo("-ERR unknown class\r\n");
+    }
+
+    @Test void aCallCarriesIdTagBudgetAndBodyUnchanged() {
+        FullHttpRequest call = CallCodec.request(MAIL, "127.0.0.1:1", 1500);
+        assertThat(call.uri()).isEqualTo("/events");
+        assertThat(call.headers().get("X-Call-Id")).isEqualTo("9b1f");
+        assertThat(call.headers().get("Idempotency-Key")).isEqualTo("5c0f");
+        assertThat(call.headers().get("X-Budget-Ms")).isEqualTo("1500");
+        assertThat(call.headers().get("Content-Length")).isEqualTo("4");
+        assertThat(call.content().array()).isEqualTo(MAIL.body());
+    }
+
+    private static CallAnswer answer(int status, String... headers) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        for (int i = 0; i < headers.length; i += 2) {
+            response.headers().set(headers[i], headers[i + 1]);
+        }
+        return new CallCodec(List.of("x0", "x1")).answer(response);
+    }
+
+    @Test void answersHaveTheOutcomesOfTheProtocol() {
+        assertThat(answer(200).outcome()).isEqualTo(new Outcome.Relayed());
+        assertThat(answer(200).over()).isTrue();
+        assertThat(answer(500).outcome()).isEqualTo(new Outcome.Erred());
+        assertThat(answer(429, "Wait-Ms", "350").outcome()).isEqualTo(new Outcome.Full(350_000));
+        assertThat(answer(429).outcome()).isEqualTo(new Outcome.Full(0));
+        assertThat(answer(429, "Wait-Ms", "soon").outcome()).isEqualTo(new Outcome.Full(0));
+        assertThat(answer(503).outcome()).isEqualTo(new Outcome.Full(0));
+        assertThat(answer(503, "Slots-Taken", "1").outcome()).isEqualTo(new Outcome.NotSent(true));
+        assertThat(answer(504).outcome()).isEqualTo(new Outcome.NotSent(false));
+        assertThat(answer(504).over()).isFalse();
+        assertThat(answer(410).outcome()).isEqualTo(new Outcome.NotSent(false));
+        assertThat(answer(410).over()).isTrue();
+        assertThat(answer(302).understood()).isFalse();
+        assertThat(answer(302).outcome().neverRan()).isFalse();
+    }
+
+    @Test void aReportIsReadInTheSettingsOrderOrNotAtAll() {
+        assertThat(answer(200, "X-Load-Report", "x1=25, x0=0.4,x9=1").report()).containsExactly(0.4, 25);
+        assertThat(answer(200, "X-Load-Report", "x0=0.4").report()).isEmpty();
+        assertThat(answer(200, "X-Load-Report", "x0=a,x1=2").report()).isEmpty();
+        assertThat(answer(200).report()).isEmpty();
+    }
+
+    @Test void aListIsReadWithWhatItDoesNotKnowPassedOver() throws IOException {
+        ListLine line = ListReader.read("""
+                {"index":41,"more":{"a":[1]},"snapshot":true,"endpoints":[{"name":"s","address":"127.0.0.1:80",
+                "zone":"a","type":"m","group":3,"status":"SERVING","weight":1.5,"since_ms":0,"new":[]}]}"""
+                .getBytes(StandardCharsets.UTF_8));
+        assertThat(line).isEqualTo(new ListLine(41, true,
+                List.of(new ListLine.Entry("s", "127.0.0.1:80", "a", "m", 3, "SERVING", 1.5))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[]", "{\"index\":1", "{\"endpoints\":[]}", "{\"index\":1,\"endpoints\":[7]}",
+        "{\"index\":1,\"endpoints\":[{\"name\":\"s\"}]}", "{\"index\":\"x\"}", "{\"index\":1,\"endpoints\":7}",
+        "{\"index\":1,\"endpoints\":[{\"name\":\"s\",\"group\":\"x\"}]}"})
+    void aMalformedListIsAnIoException(String text) {
+        assertThatThrownBy(() -> ListReader.read(text.getBytes(StandardCharsets.UTF_8))).isInstanceOf(IOException.class);
+    }
+
+    @Test void noticesAreOneObjectALine() {
+        HeldMail bounced = new HeldMail(MAIL, 0);
+        bounced.ending = new Ending(false, 0);
+        HeldMail deferred = new HeldMail(new Submission("a\"b", "", "", "", "", 1, new byte[0]), 0);
+        deferred.ending = new Ending(true, 500);
+        assertThat(new String(Notices.body(List.of(bounced, deferred)), StandardCharsets.UTF_8)).isEqualTo("""
+                {"id":"9b1f","status":"undeliverable"}
+                {"id":"a\\"b","status":"deferred","again_ms":500}
+                """);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"10.1.0.18:6379, 6379", "[::1]:80, 80", "127.0.0.1:0, 0"})
+    void addressesAreNumbers(String text, int port) {
+        assertThat(Addresses.parse(text).getPort()).isEqualTo(port);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "host:80", "10.1.0.18", "10.1.0.18:x", "10.1.0.18:70000", ":1"})
+    void namesAreNoAddresses(String text) {
+        assertThatThrownBy(() -> Addresses.parse(text)).isInstanceOf(IllegalArgumentException.class);
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenreach/node/ConfigTest.java
@@ -0,0 +1,78 @@
+package wrenreach.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wrenreach.api.Settings;
+
+class ConfigTest {
+    private static final Path SAMPLE = Path.of("deploy/sample.json");
+
+    @Test void settingsAreReadFromNestedJsonAsFromTheWire() throws Exception {
+        Config config = Config.read(SAMPLE, Map.of());
+        Settings s = config.settings();
+        assertThat(s.outLimit()).isEqualTo(8);
+        assertThat(s.seed()).isEqualTo(1);
+        assertThat(s.classes()).hasSize(1);
+        assertThat(s.classes().get(0).repeatWindow()).isEqualTo(5_000_000);
+        assertThat(s.classes().get(0).inOrder()).isTrue();
+        assertThat(s.rules().orderSettle()).isEqualTo(100_000);
+        assertThat(s.allowanceRateAt()).isEqualTo(1);
+        assertThat(config.queueClasses()).containsExactly("order");
+        assertThat(config.tenants()).containsExactly("shop");
+        assertThat(config.reportNames()).containsExactly("x0", "x1");
+        assertThat(config.known().entries()).hasSize(1);
+        assertThat(config.diskBytes()).isEqualTo(2_000_000);
+    }
+
+    @Test void theEnvironmentGoesBeforeTheFile() throws Exception {
+        Config config = Config.read(SAMPLE, Map.of("GW_LISTEN", "127.0.0.2:7000"));
+        assertThat(config.listen().getPort()).isEqualTo(7000);
+        assertThat(config.discovery().getPort()).isEqualTo(9);
+    }
+
+    /** Guards calls of one mail: where kinds allow calls of several, the protocol has no form for them. */
+    @Test void callsCarryOneMail() throws IOException {
+        String json = Files.readString(SAMPLE).replace("\"BatchByKind\": [1]", "\"BatchByKind\": [20]");
+        Config config = Config.parse(json.getBytes(StandardCharsets.UTF_8), Map.of());
+        assertThat(config.settings().kinds().get(0).batch()).isEqualTo(1);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"\"listen\":, \"lissen\":", "127.0.0.1:0, localhost:1", "\"sockets\": 512, \"sockets\": 0",
+        "\"seed\": \"1\", \"seed\": \"x\"", "\"MaxCalls\": 8, \"MaxCalls\": -1", "\"index\": 0, \"index\": []", "{, ["})
+    void whatIsWrongIsSaidInOneLine(String from, String to, @TempDir Path folder) throws IOException {
+        Path file = Files.writeString(folder.resolve("c"), Files.readString(SAMPLE).replace(from, to));
+        assertThatThrownBy(() -> Config.read(file, Map.of())).isInstanceOf(Config.Unusable.class)
+                .hasMessageStartingWith("config " + file + ": ").message().hasLineCount(1);
+    }
+
+    @Test void phasesFollowEachOtherOneWay() {
+        Phase phase = Phase.STARTING.to(Phase.RECOVERING).to(Phase.SERVING).to(Phase.DRAINING).to(Phase.STOPPED);
+        assertThatThrownBy(() -> phase.to(Phase.SERVING)).isInstanceOf(IllegalStateException.class);
+        assertThatThrownBy(() -> Phase.STARTING.to(Phase.SERVING)).isInstanceOf(IllegalStateException.class);
+        assertThatThrownBy(() -> Phase.DRAINING.to(Phase.SERVING)).isInstanceOf(IllegalStateException.class);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"help, 0", "version, 0", "nothing, 2", "serve, 2", "serve more, 2", "held --wrong, 2",
+        "serve --config absent --state absent, 2", "held --state absent, 0"})
+    void theCommandLineAnswersWithItsCodes(String line, int code) {
+        assertThat(Main.run(line.split(" "), Map.of())).isEqualTo(code);
+    }
+
+    @Test void aStateFolderThatCantBeUsedIsCodeOne(@TempDir Path folder) throws IOException {
+        Path file = Files.writeString(folder.resolve("file"), "");
+        String[] args = {"serve", "--config", SAMPLE.toString(), "--state", file.toString()};
+        assertThat(Main.run(args, Map.of())).isEqualTo(1);
+    }
+}
--- /dev/null
+++ b/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -0,0 +1,183 @@
+package wrenreach.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wrenreach.Choice;
+import wrenreach.held.Ending;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Journal;
+import wrenreach.held.PastConnect;
+import wrenreach.held.Submission;
+
+/** One node against a small receiver and platform on loopback. */
+class DeliveryNodeTest {
+    @TempDir Path state;
+    private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    private HttpServer outside;
+    private volatile int answer = 200;
+    private volatile int confirm = 204;
+    private String effect = "token";
+    private DeliveryNode node;
+
+    @BeforeEach void listen() throws IOException {
+        outside = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        outside.createContext("/", exchange -> {
+            String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.ISO_8859_1).strip();
+            String path = exchange.getRequestURI().getPath();
+            String id = exchange.getRequestHeaders().getFirst("X-Call-Id");
+            if (!path.equals("/api/targets")) {
+                heard.add(path + " " + (id == null ? "" : id + " ") + body);
+            }
+            exchange.sendResponseHeaders(path.equals("/events") ? answer : path.equals("/v2/finals") ? confirm : 503, -1);
+            exchange.close();
+        });
+        outside.start();
+    }
+
+    @AfterEach void stop() throws Exception {
+        if (node != null) {
+            node.stop();
+        }
+        outside.stop(0);
+    }
+
+    private InetSocketAddress start() throws Exception {
+        String address = "127.0.0.1:" + outside.getAddress().getPort();
+        String json = Files.readString(Path.of("deploy/sample.json")).replace("127.0.0.1:9", address)
+                .replace("token", effect).replace("\"TryLimit\": 4", "\"TryLimit\": 40");
+        Config config = Config.parse(json.getBytes(StandardCharsets.UTF_8), Map.of());
+        node = new DeliveryNode(config, Journal.open(state, config.diskBytes()), Choice::new);
+        node.start();
+        return node.serving().get(20, TimeUnit.SECONDS);
+    }
+
+    private String next() throws InterruptedException {
+        return heard.poll(20, TimeUnit.SECONDS);
+    }
+
+    private void owedNothing() throws Exception {
+        node.stop();
+        assertThat(node.stopped().get(20, TimeUnit.SECONDS)).isZero();
+        assertThat(Journal.read(state)).isEmpty();
+    }
+
+    private static String enqueue(String id, String fields) {
+        return "*5\r\n$7\r\nENQUEUE\r\n$1\r\n5\r\n$" + id.length() + "\r\n" + id + "\r\n$" + fields.length() + "\r\n"
+                + fields + "\r\n$4\r\nbody\r\n";
+    }
+
+    private static String ask(InetSocketAddress node, String text, int answers) throws IOException {
+        try (Socket socket = new Socket(node.getAddress(), node.getPort())) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            StringBuilder got = new StringBuilder();
+            for (int lines = 0; lines < answers;) {
+                int c = socket.getInputStream().read();
+                got.append((char) c);
+                lines += c == '\n' || c < 0 ? 1 : 0;
+            }
+            return got.toString();
+        }
+    }
+
+    private HeldMail owe(String id, boolean outAtTheEnd, Ending ending) throws IOException {
+        try (Journal journal = Journal.open(state, 2_000_000)) {
+            long wall = 1000 * System.currentTimeMillis();
+            HeldMail held = new HeldMail(new Submission(id, "5", "order", "shop", "tag", 1, new byte[] {'x'}),
+                    wall + 15_000_000);
+            journal.taken(held);
+            if (outAtTheEnd) {
+                journal.connecting(held, new PastConnect(0, "receiver-1", 0, wall - 100_000, false));
+            }
+            if (ending != null) {
+                journal.ended(held, ending);
+            }
+            journal.write();
+            return held;
+        }
+    }
+
+    @Test void aMailIsTakenThenRelayedAndNothingStaysOwed() throws Exception {
+        InetSocketAddress at = start();
+        String fields = "c=order,t=shop,d=9000,k=tag,dest=1";
+        assertThat(ask(at, enqueue("a1", fields) + "*1\r\n$4\r\nPING\r\n", 2)).isEqualTo("+OK\r\n+PONG\r\n");
+        assertThat(next()).isEqualTo("/events a1 body");
+        owedNothing();
+    }
+
+    @Test void whatIsNotKnownIsAnError() throws Exception {
+        InetSocketAddress at = start();
+        assertThat(ask(at, enqueue("a", "c=other,t=shop,d=9000,dest=1"), 1)).startsWith("-ERR");
+        assertThat(ask(at, enqueue("a", "c=order,t=other,d=9000,dest=1"), 1)).startsWith("-ERR");
+        assertThat(ask(at, enqueue("a", "c=order,t=shop,d=9000,dest=2"), 1)).startsWith("-ERR");
+        assertThat(ask(at, "*1\r\n:5\r\n", 1)).startsWith("-ERR");
+        assertThat(ask(at, enqueue("a", "c=order,t=shop,d=0,dest=1"), 1)).startsWith("-BUSY");
+        assertThat(ask(at, enqueue("a1", "c=order,t=shop,d=9000,dest=1"), 1)).startsWith("+OK");
+        assertThat(next()).startsWith("/events a1");
+    }
+
+    @Test void anOwedMailGoesAgainAfterARestart() throws Exception {
+        owe("a1", true, null);
+        owe("a2", false, null);
+        start();
+        assertThat(next()).isEqualTo("/events a1 x");
+        assertThat(next()).isEqualTo("/events a2 x");
+        owedNothing();
+    }
+
+    /** Guards effects: a once-only mail whose call was out when the process ended may have run. */
+    @Test void aOnceOnlyMailThatMayHaveRunEndsUndeliverable() throws Exception {
+        effect = "side_effect";
+        owe("a1", true, null);
+        start();
+        assertThat(next()).isEqualTo("/v2/finals {\"id\":\"a1\",\"status\":\"undeliverable\"}");
+        owedNothing();
+    }
+
+    /** Guards endings and the order of keys: a notice goes until it is confirmed, and its key waits for that. */
+    @Test void aNoticeGoesAgainUntilItIsConfirmedBeforeItsKeyGoesOn() throws Exception {
+        confirm = 503;
+        owe("a1", false, new Ending(true, 0));
+        owe("a2", false, null);
+        start();
+        for (int i = 0; i < 3; i++) {
+            assertThat(next()).isEqualTo("/v2/finals {\"id\":\"a1\",\"status\":\"deferred\"}");
+        }
+        confirm = 204;
+        String last = next();
+        while (last.startsWith("/v2/finals")) {
+            last = next();
+        }
+        assertThat(last).isEqualTo("/events a2 x");
+        owedNothing();
+    }
+
+    @Test void aStopKeepsWhatCouldNotBeRelayed() throws Exception {
+        answer = 503;
+        InetSocketAddress at = start();
+        assertThat(ask(at, enqueue("a1", "c=order,t=shop,d=20000,dest=1"), 1)).startsWith("+OK");
+        assertThat(next()).startsWith("/events a1");
+        node.stop();
+        assertThat(node.stopped().get(20, TimeUnit.SECONDS)).isZero();
+        List<HeldMail> owed = Journal.read(state);
+        assertThat(owed).hasSize(1);
+        assertThat(owed.get(0).connects).isNotEmpty().allMatch(PastConnect::neverRan);
+    }
+}
