Client connections share a third of the memory; requests are read in small buffers

Seen by hand (700 clients with 60 of 64 KiB of a body each, 1,500 connections in all, one core): the node stood still for seconds. Checked with the GC log: System.gc() again and again, from direct memory being used up (16 MB); the heap was at 6 MB, so it was not too small. Descriptors stayed under the limit (883). At fault: Netty reads into direct buffers of up to 64 KiB, kept whole while a request is unfinished, and the door's limit counted descriptors only. One line in 10 s on refusals for disk.

--- a/src/main/java/wrenreach/net/Door.java
+++ b/src/main/java/wrenreach/net/Door.java
@@ -1,6 +1,7 @@
 package wrenreach.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -25,7 +26,9 @@
 /** Where clients hand in mails. Replies wait for the end of the turn and go out in the order of the requests. */
 public final class Door {
     public static final int BODY_LIMIT = 64 * 1024;
-    private static final int LINE_LIMIT = 1024;
+    private static final int LINE_LIMIT = 1024, READ_LIMIT = 16 * 1024;
+    /** What one client's unfinished request may take. */
+    public static final int CLIENT_BYTES = BODY_LIMIT + READ_LIMIT;
 
     /** What the door reports. */
     public interface Host {
@@ -74,6 +77,9 @@
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Guards memory: what is read of an unfinished request is kept in the buffers it came in.
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(256, 1024, READ_LIMIT))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override protected void initChannel(SocketChannel channel) {
                         channel.pipeline().addLast(
--- a/src/main/java/wrenreach/node/Config.java
+++ b/src/main/java/wrenreach/node/Config.java
@@ -19,7 +19,7 @@
 
 /** What a delivery node is told at its start. The names stand in the order of the settings' numbers. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int descriptors,
-                     long diskBytes, ListLine known, Settings settings, List<String> queueClasses,
+                     long memoryBytes, long diskBytes, ListLine known, Settings settings, List<String> queueClasses,
                      List<String> tenants, List<String> kinds, List<String> zones, List<String> reportNames) {
     /** The config can't be used; the message is for the one who starts the node. */
     public static final class Unusable extends Exception {
@@ -72,7 +72,8 @@
         return new Config(flat.getOrDefault("name", "node"),
                 Addresses.parse(environment.getOrDefault("GW_LISTEN", needed(flat, "listen"))),
                 Addresses.parse(environment.getOrDefault("GW_DISCOVERY", needed(flat, "discovery"))),
-                (int) number(flat, "limits.sockets"), (long) (1_000_000 * number(flat, "limits.disk_mb")), known,
+                (int) number(flat, "limits.sockets"), (long) (1_000_000 * number(flat, "limits.memory_mb")),
+                (long) (1_000_000 * number(flat, "limits.disk_mb")), known,
                 SettingsText.read(text.toString(), seed), names(settings, "Classes"), names(settings, "Tenants"),
                 list(settings, "Kinds"), list(settings, "Areas"), list(settings, "Feedback.Names"));
     }
--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -52,6 +52,10 @@
     private static final System.Logger LOG = System.getLogger(DeliveryNode.class.getName());
     /** Descriptors kept for files, the loop, discovery and notices; connections that may idle, a slot. */
     private static final int OWN_DESCRIPTORS = 64, IDLE_A_SLOT = 8;
+    /** One part in so many of the memory is for requests that come in. */
+    private static final int CLIENTS_PART = 3;
+    /** How long one line on refusals for disk stands for those that follow. */
+    private static final long QUIET = 10_000_000;
     /**
      * A planned stop, counted from the signal: until when the front may still send, until when calls go out
      * (so that most of them end in time), and the end, well before the kill 3.7 s after the signal.
@@ -83,7 +87,7 @@
     private long now;
     private long wallAhead;
     private long keysRestUntil;
-    private boolean full;
+    private long quietUntil;
     private long drainSince;
     private boolean doorOpen;
     private boolean sending = true;
@@ -95,7 +99,9 @@
         this.module = module.apply(settings);
         int idle = Math.min(IDLE_A_SLOT * settings.outLimit(), config.descriptors() / 4);
         int taken = OWN_DESCRIPTORS + settings.outLimit() + idle;
-        door = new Door(group, this, config.descriptors() - taken);
+        // Guards memory against clients that all hand in large bodies at once: they share a part of it.
+        long affordable = config.memoryBytes() / CLIENTS_PART / Door.CLIENT_BYTES;
+        door = new Door(group, this, (int) Math.min(affordable, config.descriptors() - taken));
         calls = new Calls(loop, this, config.reportNames(), settings.connectionIdle(), settings.connectionTimeout(), idle);
         notices = new Notices(loop, config.discovery(), this::heard);
         discovery = new Discovery(loop, this, config.discovery(), config.known().index(), !settings.listOnRequest());
@@ -331,10 +337,10 @@
             return;
         }
         boolean fits = journal.fits(s.body().length, fresh.size(), settings.connectLimit());
-        if (!fits && !full) {
+        if (!fits && now > quietUntil) {
+            quietUntil = now + QUIET;
             LOG.log(Level.WARNING, "refused for disk: {0} mails held", held.size());
         }
-        full = !fits;
         if (!fits || held.size() >= settings.heldLimit() || !doorOpen) {
             asked.answer(new Reply.Busy(0));
             return;
