A mail whose client has closed before its answer is withdrawn, not taken on

Seen in a test that holds the loop still while a client hands in and closes: the mail was taken on and relayed, and the client hands it in again under a new id. Checked: the closing was read one pass after the request, since reads ended with the first (RECVBUF_ALLOCATOR set as an option reads once a pass), and channelInactive comes as a later task than the end of the turn. At fault: Door's allocator and DeliveryNode.gone. Now reads go on until nothing is left, and the turn asks whether the client is still there. Ruled out: the order of the answers.

--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -43,7 +43,7 @@
     private static final double WARMS = 0.7;
     // Usual times for which each of ROOMY nodes, longer of fewer, keeps a connection: an endpoint takes a few
     // for each call that it serves.
-    private static final double KEEP = 2, KEEP_UNPROVEN = 10;
+    private static final double KEEP = 2, KEEP_NEW = 10;
     private static final int ROOMY = 64, ROOMY_FORGETS = 4;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3, ROOM_PART = 16, ASK_PART = 8;
@@ -509,8 +509,7 @@
 
     private long keepFor(Endpoint e) {
         int seen = roomy[e.route.kind];
-        double times = (seen < 0 ? KEEP : KEEP_UNPROVEN) * ROOMY / proof;
-        return seen >= proof ? NEVER : (long) (times * e.route.usual);
+        return seen >= proof ? NEVER : (long) ((seen < 0 ? KEEP : KEEP_NEW) * ROOMY / proof * e.route.usual);
     }
 
     private void release(Endpoint e) {
@@ -898,7 +897,9 @@
         for (Destination d : busy) {
             for (int i = d.line.size() - 1; i >= 0; i--) {
                 Mail m = d.line.get(i);
-                if (now + 3 * tick >= m.endsBy || ranMaybe(m) && !repeatable(m, now)) {
+                // Guards mails whose tries an earlier process has used up: they end at once.
+                if (now + 3 * tick >= m.endsBy || m.connects.size() >= tries
+                        || ranMaybe(m) && !repeatable(m, now)) {
                     end(m, expectedWait(d, 0, now), now);
                 } else {
                     later(m.endsBy - 3 * tick, now);
--- a/src/main/java/wrenreach/net/Door.java
+++ b/src/main/java/wrenreach/net/Door.java
@@ -26,7 +26,7 @@
 /** Where clients hand in mails. Replies wait for the end of the turn and go out in the order of the requests. */
 public final class Door {
     public static final int BODY_LIMIT = 64 * 1024;
-    private static final int LINE_LIMIT = 1024, READ_LIMIT = 16 * 1024;
+    private static final int LINE_LIMIT = 1024, READ_LIMIT = 16 * 1024, READS = 16;
     /** What one client's unfinished request may take. */
     public static final int CLIENT_BYTES = BODY_LIMIT + READ_LIMIT;
 
@@ -34,9 +34,6 @@
     public interface Host {
         /** A request was read; it is answered by setting its reply before the turn ends. */
         void asked(Asked asked);
-
-        /** The client of this request went away before it was answered. */
-        void gone(Asked asked);
     }
 
     /** One request, until it is answered. */
@@ -50,6 +47,11 @@
             this.client = client;
         }
 
+        /** Whether the client has closed its connection. */
+        public boolean abandoned() {
+            return !client.ctx.channel().isActive();
+        }
+
         public void answer(Reply answer) {
             reply = answer;
         }
@@ -77,9 +79,11 @@
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                // Guards memory: what is read of an unfinished request is kept in the buffers it came in.
+                // Guards memory: what is read of an unfinished request is kept in the buffers it came in. Reads
+                // on until nothing is left, so that a request and its client's closing are seen in one turn.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(256, 1024, READ_LIMIT))
+                        new AdaptiveRecvByteBufAllocator(256, 1024, READ_LIMIT)
+                                .respectMaybeMoreData(false).maxMessagesPerRead(READS))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override protected void initChannel(SocketChannel channel) {
                         channel.pipeline().addLast(
@@ -172,9 +176,7 @@
         @Override public void channelInactive(ChannelHandlerContext context) {
             closed = true;
             clients.remove(this);
-            List<Asked> unanswered = new ArrayList<>(open);
             open.clear();
-            unanswered.forEach(host::gone);
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -113,6 +113,11 @@
         return serving;
     }
 
+    /** What owns all of the node. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Begins a planned stop; safe from any thread. */
     void stop() {
         if (!group.isShuttingDown()) {
@@ -203,6 +208,7 @@
     }
 
     private void decide() {
+        withdrawAbandoned();
         calls.dropForbidden();
         directory.sweepKeys(now);
         if (sending) {
@@ -302,16 +308,16 @@
         answers.addAll(module.admit(admitted, now));
     }
 
-    @Override public void gone(Door.Asked asked) {
-        for (Map.Entry<HeldMail, Door.Asked> entry : fresh.entrySet()) {
-            if (entry.getValue() == asked) {
-                HeldMail mail = entry.getKey();
-                fresh.remove(mail);
-                answers.addAll(module.withdrawn(mail.mail, turn()));
-                forget(mail);
-                return;
+    /** Guards against taking on what its client has given up and hands in again under a new id. */
+    private void withdrawAbandoned() {
+        fresh.entrySet().removeIf(entry -> {
+            boolean abandoned = entry.getValue().abandoned();
+            if (abandoned) {
+                answers.addAll(module.withdrawn(entry.getKey().mail, now));
+                forget(entry.getKey());
             }
-        }
+            return abandoned;
+        });
     }
 
     // ---- Calls ----
--- a/src/main/java/wrenreach/node/Main.java
+++ b/src/main/java/wrenreach/node/Main.java
@@ -116,6 +116,10 @@
     }
 
     private static int held(Path state) {
+        if (!Files.isDirectory(state)) {
+            System.err.println("wrenreach: state folder " + state + " is not there");
+            return 1;
+        }
         try {
             List<HeldMail> owed = Journal.read(state);
             for (HeldMail mail : owed) {
--- a/src/test/java/wrenreach/ChoiceTest.java
+++ b/src/test/java/wrenreach/ChoiceTest.java
@@ -144,11 +144,12 @@
         assertThat(s.ever(Answer.Bounce.class)).hasSize(1);
     }
 
-    @Test void recoveredConnectsCountAmongTheTries() {
+    @Test void aRecoveredMailWithoutTriesLeftEndsAtOnce() {
         s.tries = 3;
         Mail m = recovered(s.endpoint(1, 0), 3, 1000, true);
         assertThat(s.turn(5)).isEmpty();
         assertThat(m.connects).hasSize(3);
+        assertThat(s.ever(Answer.Defer.class)).extracting(Answer.Defer::mail).containsExactly(m);
     }
 
     // ---- The rules ----
--- a/src/test/java/wrenreach/node/ConfigTest.java
+++ b/src/test/java/wrenreach/node/ConfigTest.java
@@ -65,7 +65,7 @@
 
     @ParameterizedTest
     @CsvSource({"help, 0", "version, 0", "nothing, 2", "serve, 2", "serve more, 2", "held --wrong, 2",
-        "serve --config absent --state absent, 2", "held --state absent, 0"})
+        "serve --config absent --state absent, 2", "held --state absent, 1"})
     void theCommandLineAnswersWithItsCodes(String line, int code) {
         assertThat(Main.run(line.split(" "), Map.of())).isEqualTo(code);
     }
--- a/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -123,6 +124,28 @@
         owedNothing();
     }
 
+    /** Guards against delivering for a client that gave up: it hands the mail in again under a new id. */
+    @Test void aMailWhoseClientHasClosedIsNotTakenOn() throws Exception {
+        InetSocketAddress at = start();
+        CountDownLatch standing = new CountDownLatch(1);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        node.loop().execute(() -> {
+            standing.countDown();
+            try {
+                goesOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        standing.await();
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+            socket.getOutputStream().write(enqueue("a1", "c=order,t=shop,d=9000,dest=1").getBytes());
+        }
+        goesOn.countDown();
+        assertThat(ask(at, enqueue("a2", "c=order,t=shop,d=9000,dest=1"), 1)).startsWith("+OK");
+        assertThat(next()).isEqualTo("/events a2 body");
+    }
+
     @Test void whatIsNotKnownIsAnError() throws Exception {
         InetSocketAddress at = start();
         assertThat(ask(at, enqueue("a", "c=other,t=shop,d=9000,dest=1"), 1)).startsWith("-ERR");
