--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -49,7 +49,7 @@
 final class DeliveryNode implements Door.Host, Calls.Host, Discovery.Host, PlannedStop.Host {
     private static final System.Logger LOG = System.getLogger(DeliveryNode.class.getName());
     /** Descriptors kept for files, the loop, discovery and notices; connections that may idle, a slot. */
-    private static final int OWN_DESCRIPTORS = 64, IDLE_A_SLOT = 8;
+    private static final int OWN_DESCRIPTORS = 32, IDLE_A_SLOT = 8;
     /** One part in so many of the memory is for requests that come in. */
     private static final int CLIENTS_PART = 3;
     /** How long one line on refusals for disk stands for those that follow. */
