--- a/src/main/java/wrenreach/net/Addresses.java
+++ b/src/main/java/wrenreach/net/Addresses.java
@@ -9,6 +9,11 @@
 public final class Addresses {
     private Addresses() { }
 
+    /** The address as host:port. */
+    public static String text(InetSocketAddress address) {
+        return NetUtil.toSocketAddressString(address);
+    }
+
     /** Reads host:port; IllegalArgumentException where it is none. */
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/wrenreach/net/Calls.java
+++ b/src/main/java/wrenreach/net/Calls.java
@@ -209,9 +209,8 @@
 
     private void write(Outgoing call, long budgetMs) {
         Link link = call.link;
-        InetSocketAddress address = link.pool.address;
-        String name = address.getAddress().getHostAddress() + ":" + address.getPort();
-        link.channel.writeAndFlush(CallCodec.request(call.held.submission, name, budgetMs)).addListener(done -> {
+        String host = Addresses.text(link.pool.address);
+        link.channel.writeAndFlush(CallCodec.request(call.held.submission, host, budgetMs)).addListener(done -> {
             link.written = done.isSuccess();
             if (!done.isSuccess()) {
                 link.close();
@@ -301,7 +300,7 @@
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
             if (message.decoderResult().isFailure()) {
-                LOG.log(Level.WARNING, "answer from {0} can''t be read: {1}", pool.address,
+                LOG.log(Level.WARNING, "answer from {0} can''t be read: {1}", Addresses.text(pool.address),
                         message.decoderResult().cause().getMessage());
                 close();
                 return;
@@ -313,7 +312,7 @@
                     CallAnswer answer = codec.answer(response);
                     if (!answer.understood()) {
                         LOG.log(Level.WARNING, "answer {0} from {1} is not of the protocol", response.status().code(),
-                                pool.address);
+                                Addresses.text(pool.address));
                     }
                     end(call, answer);
                 }
--- a/src/main/java/wrenreach/net/Discovery.java
+++ b/src/main/java/wrenreach/net/Discovery.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -28,6 +29,7 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -97,9 +99,9 @@
                 broken("no connection", path.contains("stream"));
                 return;
             }
-            Channel channel = ((io.netty.channel.ChannelFuture) done).channel();
+            Channel channel = ((ChannelFuture) done).channel();
             DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
-            get.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+            get.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
             channel.writeAndFlush(get);
         });
     }
@@ -121,7 +123,7 @@
 
     private void read(ByteBuf text) {
         byte[] line = ByteBufUtil.getBytes(text);
-        if (new String(line, java.nio.charset.StandardCharsets.ISO_8859_1).isBlank()) {
+        if (new String(line, StandardCharsets.ISO_8859_1).isBlank()) {
             return;
         }
         try {
--- a/src/main/java/wrenreach/net/Door.java
+++ b/src/main/java/wrenreach/net/Door.java
@@ -4,6 +4,7 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -11,6 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.redis.FixedRedisMessagePool;
 import io.netty.handler.codec.redis.RedisArrayAggregator;
 import io.netty.handler.codec.redis.RedisBulkStringAggregator;
@@ -86,16 +88,21 @@
                                 .respectMaybeMoreData(false).maxMessagesPerRead(READS))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(
-                                new RedisDecoder(LINE_LIMIT, FixedRedisMessagePool.INSTANCE, true),
-                                new SizeGuard(BODY_LIMIT), new RedisBulkStringAggregator(), new RedisArrayAggregator(SizeGuard.WORDS, 1),
-                                new RequestDecoder(), new RedisEncoder(), new ReplyEncoder(), new Client());
+                        channel.pipeline().addLast(codecs(BODY_LIMIT)).addLast(new Client());
                     }
                 }).bind(address);
         listener = bound.channel();
         return bound;
     }
 
+    /** Between a client's bytes and requests and replies. */
+    static ChannelHandler[] codecs(int bodyLimit) {
+        return new ChannelHandler[] {
+            new RedisDecoder(LINE_LIMIT, FixedRedisMessagePool.INSTANCE, true), new SizeGuard(bodyLimit),
+            new RedisBulkStringAggregator(), new RedisArrayAggregator(SizeGuard.WORDS, 1), new RequestDecoder(),
+            new RedisEncoder(), new ReplyEncoder()};
+    }
+
     /** Stops listening and closes each client once it has its answers. */
     public void close() {
         closing = true;
@@ -180,7 +187,7 @@
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (cause instanceof io.netty.handler.codec.DecoderException && !closed) {
+            if (cause instanceof DecoderException && !closed) {
                 channelRead0(context, new Request.Unreadable("malformed request", true));
             } else {
                 context.close();
--- a/src/main/java/wrenreach/net/Notices.java
+++ b/src/main/java/wrenreach/net/Notices.java
@@ -5,6 +5,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -81,7 +82,7 @@
         posted = untold.stream().limit(BATCH).toList();
         DefaultFullHttpRequest post = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v2/finals",
                 Unpooled.wrappedBuffer(body(posted)));
-        post.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort())
+        post.headers().set(HttpHeaderNames.HOST, Addresses.text(address))
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson")
                 .set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(post.content().readableBytes()));
         patience = loop.schedule(() -> broken("no answer"), ANSWER_MS, TimeUnit.MILLISECONDS);
@@ -122,7 +123,7 @@
                 }).connect(address).addListener(done -> {
                     opening = false;
                     if (done.isSuccess()) {
-                        channel = ((io.netty.channel.ChannelFuture) done).channel();
+                        channel = ((ChannelFuture) done).channel();
                         flush();
                     } else {
                         broken("no connection");
--- a/src/main/java/wrenreach/node/Config.java
+++ b/src/main/java/wrenreach/node/Config.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -38,7 +39,7 @@
         try {
             return parse(Files.readAllBytes(file), environment);
         } catch (IOException | IllegalArgumentException e) {
-            String why = e instanceof java.nio.file.NoSuchFileException ? "no such file" : e.getMessage();
+            String why = e instanceof NoSuchFileException ? "no such file" : e.getMessage();
             throw new Unusable("config " + file + ": " + String.valueOf(why).lines().findFirst().orElse(""));
         }
     }
--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -169,7 +169,8 @@
                 move(Phase.SERVING);
                 serving.complete((InetSocketAddress) listening.channel().localAddress());
             } else {
-                LOG.log(Level.ERROR, "can''t listen on {0}: {1}", config.listen(), done.cause().getMessage());
+                LOG.log(Level.ERROR, "can''t listen on {0}: {1}", Addresses.text(config.listen()),
+                        done.cause().getMessage());
                 finish(1);
             }
         });
--- a/src/main/java/wrenreach/node/Main.java
+++ b/src/main/java/wrenreach/node/Main.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -77,7 +79,7 @@
     }
 
     private static Path path(CommandLine line, String option, Map<String, String> environment) throws ParseException {
-        String variable = "GW_" + option.toUpperCase(java.util.Locale.ROOT);
+        String variable = "GW_" + option.toUpperCase(Locale.ROOT);
         String value = line.getOptionValue(option, environment.get(variable));
         if (value == null || value.isEmpty()) {
             throw new ParseException("neither --" + option + " nor " + variable + " is set");
@@ -101,7 +103,7 @@
             Files.createDirectories(state);
             journal = Journal.open(state, config.diskBytes());
         } catch (IOException e) {
-            System.err.println("wrenreach: state folder " + state + " can't be used: " + e.getMessage());
+            System.err.println("wrenreach: state folder " + state + " can't be used: " + e);
             return 1;
         }
         DeliveryNode node = new DeliveryNode(config, journal, Choice::new);
@@ -126,13 +128,13 @@
                 String end = mail.ending == null ? "" : mail.ending.deferred() ? " deferred" : " undeliverable";
                 System.out.printf("%s class=%s dest=%d until=%s connects=%d bytes=%d%s%n", mail.submission.id(),
                         mail.submission.queueClass(), mail.submission.destination(),
-                        java.time.Instant.ofEpochMilli(mail.endsBy / 1000), mail.connects.size(),
+                        Instant.ofEpochMilli(mail.endsBy / 1000), mail.connects.size(),
                         mail.submission.body().length, end);
             }
             System.out.println(owed.size() + " mails owed");
             return 0;
         } catch (IOException e) {
-            System.err.println("wrenreach: state folder " + state + " can't be read: " + e.getMessage());
+            System.err.println("wrenreach: state folder " + state + " can't be read: " + e);
             return 1;
         }
     }
--- a/src/test/java/wrenreach/net/CodecTest.java
+++ b/src/test/java/wrenreach/net/CodecTest.java
@@ -11,11 +11,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.redis.FixedRedisMessagePool;
-import io.netty.handler.codec.redis.RedisArrayAggregator;
-import io.netty.handler.codec.redis.RedisBulkStringAggregator;
-import io.netty.handler.codec.redis.RedisDecoder;
-import io.netty.handler.codec.redis.RedisEncoder;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -31,10 +26,7 @@
 class CodecTest {
     private static final Submission MAIL =
             new Submission("9b1f", "7f3a", "notice", "acme", "5c0f", 7, new byte[] {0, 13, 10, -1});
-    private final EmbeddedChannel door = new EmbeddedChannel(
-            new RedisDecoder(1024, FixedRedisMessagePool.INSTANCE, true), new SizeGuard(64),
-            new RedisBulkStringAggregator(), new RedisArrayAggregator(SizeGuard.WORDS, 1), new RequestDecoder(), new RedisEncoder(),
-            new ReplyEncoder());
+    private final EmbeddedChannel door = new EmbeddedChannel(Door.codecs(64));
 
     private Request got() {
         return door.readInbound();
