Calls are taken off the list before they are written; discovery gives up a connection after 1 s

Found by reading, no failing run: an exception while one call is written would have left the list of chosen calls to be written again in the next turn (Calls.flush). A watch made anew into silence took 4.5 s to be given up, and what discovery tells counts as told after 6 s. Retry advice is rounded up; a failed archive does not fail the build.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -7,4 +7,4 @@
 trap 'rm -rf "$folder"' EXIT
 java @deploy/serve.options -Xlog:disable -Xlog:all=error:stderr -XX:ArchiveClassesAtExit=target/wrenreach.jsa \
     -jar target/wrenreach.jar serve --check --config deploy/sample.json --state "$folder/state" 2> "$folder/log" ||
-    { cat "$folder/log" >&2; exit 1; }
+    { echo "no class-data archive, nodes start slower:" >&2; cat "$folder/log" >&2; }
--- a/src/main/java/wrenreach/net/Calls.java
+++ b/src/main/java/wrenreach/net/Calls.java
@@ -20,8 +20,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Future;
@@ -83,7 +83,7 @@
     private final int idleLimit;
     private final Bootstrap bootstrap;
     private final Map<Endpoint, Pool> pools = new IdentityHashMap<>();
-    private final Map<Connect, Outgoing> out = new HashMap<>();
+    private final Map<Connect, Outgoing> out = new LinkedHashMap<>();
     private final Map<Route, Long> toldUntil = new IdentityHashMap<>();
     private final Deque<Link> idle = new ArrayDeque<>();
     private List<Outgoing> staged = new ArrayList<>();
@@ -199,12 +199,14 @@
 
     /** Writes the chosen calls. */
     public void flush(long now) {
-        for (Outgoing call : going) {
+        // Guards against second copies: whatever happens while they are written, none is written again.
+        List<Outgoing> chosen = List.copyOf(going);
+        going.clear();
+        for (Outgoing call : chosen) {
             if (!call.over) {
                 write(call, Math.max(0, (call.connect.cutAt - now) / 1000));
             }
         }
-        going.clear();
     }
 
     private void write(Outgoing call, long budgetMs) {
--- a/src/main/java/wrenreach/net/Discovery.java
+++ b/src/main/java/wrenreach/net/Discovery.java
@@ -38,7 +38,7 @@
     private static final System.Logger LOG = System.getLogger(Discovery.class.getName());
     private static final int LINE_LIMIT = 4 << 20;
     /** A watch says something every 2 s: two lines missed, and it is made anew. */
-    private static final long SILENCE_MS = 4500, AGAIN_MS = 250;
+    private static final long SILENCE_MS = 4500, CONNECT_MS = 1000, AGAIN_MS = 250;
 
     /** What discovery reports. */
     public interface Host {
@@ -66,7 +66,7 @@
         this.again = again;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) SILENCE_MS);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_MS);
     }
 
     /** Asks for changes from the last known version on. */
--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -233,7 +233,7 @@
         } else if (answer instanceof Answer.Revoke revoke) {
             calls.revoke(revoke.connect());
         } else if (answer instanceof Answer.Defer defer) {
-            end(held.of(defer.mail()), new Ending(true, defer.retryAfter() / 1000));
+            end(held.of(defer.mail()), new Ending(true, (defer.retryAfter() + 999) / 1000));
         } else if (answer instanceof Answer.Bounce bounce) {
             end(held.of(bounce.mail()), new Ending(false, 0));
         } else if (answer instanceof Answer.Wake wake) {
