--- a/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -35,6 +35,7 @@
     private volatile int answer = 200;
     private volatile int confirm = 204;
     private String effect = "token";
+    private int descriptors = 512;
     private DeliveryNode node;
 
     @BeforeEach void listen() throws IOException {
@@ -63,7 +64,8 @@
     private InetSocketAddress start() throws Exception {
         String address = "127.0.0.1:" + outside.getAddress().getPort();
         String json = Files.readString(Path.of("deploy/sample.json")).replace("127.0.0.1:9", address)
-                .replace("token", effect).replace("\"TryLimit\": 4", "\"TryLimit\": 40");
+                .replace("token", effect)
+                .replace("512", Integer.toString(descriptors)).replace("\"TryLimit\": 4", "\"TryLimit\": 40");
         Config config = Config.parse(json.getBytes(StandardCharsets.UTF_8), Map.of());
         node = new DeliveryNode(config, Journal.open(state, config.diskBytes()), Choice::new);
         node.start();
@@ -157,6 +159,27 @@
         assertThat(next()).startsWith("/events a1");
     }
 
+    private static int ping(Socket client) throws IOException {
+        client.setSoTimeout(20_000);
+        client.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
+        return client.getInputStream().readNBytes(7).length;
+    }
+
+    /** Guards the descriptors: 32 of the node's own, 8 calls and 13 idle connections leave room for 2 clients. */
+    @Test void surplusClientsAreClosedThoseLongestUnusedFirst() throws Exception {
+        descriptors = 55;
+        InetSocketAddress at = start();
+        try (Socket first = new Socket(at.getAddress(), at.getPort());
+                Socket second = new Socket(at.getAddress(), at.getPort())) {
+            assertThat(ping(first) + ping(second) + ping(first)).isEqualTo(21);
+            try (Socket third = new Socket(at.getAddress(), at.getPort())) {
+                assertThat(ping(third)).isEqualTo(7);
+                assertThat(second.getInputStream().read()).isEqualTo(-1);
+                assertThat(ping(first)).isEqualTo(7);
+            }
+        }
+    }
+
     @Test void anOwedMailGoesAgainAfterARestart() throws Exception {
         owe("a1", true, null);
         owe("a2", false, null);
