--- /dev/null
+++ b/src/test/java/wrenreach/net/CallsTest.java
@@ -0,0 +1,191 @@
+package wrenreach.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import wrenreach.api.Outcome;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Submission;
+import wrenreach.state.Call;
+import wrenreach.state.Connect;
+import wrenreach.state.Destination;
+import wrenreach.state.Endpoint;
+import wrenreach.state.Mail;
+import wrenreach.state.Route;
+
+/** Calls to a receiver on loopback that the test plays itself. */
+class CallsTest implements Calls.Host {
+    private static final long SECOND = 1_000_000;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Calls calls = new Calls(loop, this, List.of(), 60 * SECOND, SECOND, 4);
+    private final Destination to = new Destination(1);
+    private final Endpoint endpoint = new Endpoint(1, to, 0, 0);
+    private final BlockingQueue<Outcome> ended = new LinkedBlockingQueue<>();
+    private ServerSocket receiver;
+    private volatile boolean holdBack;
+
+    @BeforeEach void listen() throws Exception {
+        receiver = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        receiver.setSoTimeout(20_000);
+        endpoint.ready = true;
+        endpoint.route = new Route("r", 0, 8, SECOND, SECOND);
+        loop.submit(() -> calls.locate(endpoint, (InetSocketAddress) receiver.getLocalSocketAddress())).get();
+    }
+
+    @AfterEach void close() throws IOException {
+        receiver.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    @Override public long turn() {
+        return System.nanoTime() / 1000;
+    }
+
+    @Override public void ended(HeldMail held, Connect connect, Outcome outcome, double[] report, boolean over) {
+        ended.add(outcome);
+    }
+
+    @Override public boolean heldBack(HeldMail held) {
+        return holdBack;
+    }
+
+    @Override public void goesOut(HeldMail held, Connect connect) { }
+
+    private Connect send(long cutAfter) throws Exception {
+        HeldMail held = new HeldMail(new Submission("a", "", "c", "t", "", 1, new byte[] {'x'}), 0);
+        held.mail = new Mail(1, to, null, 0, 0, turn(), turn() + 60 * SECOND);
+        Connect connect = new Connect(held.mail, endpoint, turn(), turn() + cutAfter, new Call(turn()));
+        loop.submit(() -> calls.send(held, connect)).get();
+        return connect;
+    }
+
+    private Socket accept() throws IOException {
+        Socket socket = receiver.accept();
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
+    /** Ends turns until the call's bytes are there. */
+    private void hear(Socket socket) throws Exception {
+        while (socket.getInputStream().available() == 0) {
+            endTurn();
+        }
+        StringBuilder got = new StringBuilder();
+        while (!got.toString().endsWith("\r\n\r\nx")) {
+            got.append((char) socket.getInputStream().read());
+        }
+    }
+
+    private void endTurn() throws Exception {
+        loop.submit(() -> {
+            calls.dropForbidden();
+            calls.choose();
+            calls.flush(turn());
+        }).get();
+    }
+
+    private static void answer(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write((text + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private Outcome outcome() throws InterruptedException {
+        return ended.poll(20, TimeUnit.SECONDS);
+    }
+
+    @Test void aConnectionCarriesOneCallAfterTheOther() throws Exception {
+        send(30 * SECOND);
+        try (Socket socket = accept()) {
+            for (int i = 0; i < 2; i++) {
+                hear(socket);
+                answer(socket, "HTTP/1.1 200 OK");
+                assertThat(outcome()).isEqualTo(new Outcome.Relayed());
+                send(30 * SECOND);
+            }
+        }
+    }
+
+    @Test void aCallThatIsCutEndsItsConnection() throws Exception {
+        send(SECOND);
+        try (Socket socket = accept()) {
+            hear(socket);
+            assertThat(outcome()).isEqualTo(new Outcome.TimedOut());
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    @Test void whatBreaksAfterItsBytesMayHaveRun() throws Exception {
+        send(30 * SECOND);
+        Socket socket = accept();
+        hear(socket);
+        socket.close();
+        assertThat(outcome()).isEqualTo(new Outcome.Broken());
+    }
+
+    @Test void whatCantConnectNeverRan() throws Exception {
+        receiver.close();
+        send(30 * SECOND);
+        assertThat(outcome()).isEqualTo(new Outcome.Unreached());
+    }
+
+    /** Guards drains: a call decided before its endpoint drained is not written after. */
+    @Test void nothingIsWrittenToAnEndpointThatDrainsMeanwhile() throws Exception {
+        holdBack = true;
+        send(30 * SECOND);
+        try (Socket socket = accept()) {
+            endTurn();
+            endpoint.ready = false;
+            holdBack = false;
+            while (ended.isEmpty()) {
+                endTurn();
+            }
+            assertThat(outcome()).isEqualTo(new Outcome.NotSent(false));
+            assertThat(socket.getInputStream().available()).isZero();
+        }
+    }
+
+    /** Guards told waits: a call decided before the wait came in is not written before it is over. */
+    @Test void nothingIsWrittenBeforeAToldWaitIsOver() throws Exception {
+        send(30 * SECOND);
+        try (Socket first = accept()) {
+            hear(first);
+            holdBack = true;
+            send(30 * SECOND);
+            try (Socket second = accept()) {
+                answer(first, "HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 15000");
+                assertThat(outcome()).isEqualTo(new Outcome.Full(15 * SECOND));
+                holdBack = false;
+                while (ended.isEmpty()) {
+                    endTurn();
+                }
+                assertThat(outcome()).isEqualTo(new Outcome.NotSent(false));
+                assertThat(second.getInputStream().available()).isZero();
+            }
+        }
+    }
+
+    @Test void aRevokedCallEndsItsConnection() throws Exception {
+        Connect connect = send(30 * SECOND);
+        try (Socket socket = accept()) {
+            hear(socket);
+            loop.submit(() -> calls.revoke(connect)).get();
+            assertThat(outcome()).isEqualTo(new Outcome.CalledOff());
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+}
