SIGHUP moves discovery; answers that can't be read end calls truly and close connections

At fault in Calls.Link.channelRead0: a call ended at the answer's head (429, 503, 410 booked before the body was there), a 200 whose head could not be read became Broken, and anything after an answer ran rest() again, so a link stood in its pool twice and two calls shared it. Now an answer's first line is read before the codec, each answer has a decoder of its own, all but 200 count only whole, and bytes that no call waits for close the connection. Discovery and notices move on SIGHUP, whole list first.

--- a/src/main/java/wrenreach/net/Calls.java
+++ b/src/main/java/wrenreach/net/Calls.java
@@ -10,11 +10,12 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -40,6 +41,11 @@
     private static final System.Logger LOG = System.getLogger(Calls.class.getName());
     /** Part of the settings' idle time after which a connection is given up, before the other side does. */
     private static final double IDLE_PART = 0.9;
+    /** The protocol's limit of a body, and how long an answer may take from its first line to its last byte. */
+    private static final int BODY_LIMIT = 64 * 1024;
+    private static final long ANSWER_MS = 500;
+    /** How long one line on answers that can't be read stands for those that follow. */
+    private static final long QUIET = 10_000_000;
 
     /** What the calls report. */
     public interface Host {
@@ -88,6 +94,8 @@
     private final Deque<Link> idle = new ArrayDeque<>();
     private List<Outgoing> staged = new ArrayList<>();
     private final List<Outgoing> going = new ArrayList<>();
+    private int spoilt;
+    private long quietUntil;
 
     /** Times in microseconds; idleLimit: connections that may stand idle. */
     public Calls(EventLoop loop, Host host, List<String> reportNames, long idleFor, long connectTimeout,
@@ -140,7 +148,8 @@
         call.link = link;
         ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), link);
+                channel.pipeline().addLast(link.start, new HttpObjectAggregator(BODY_LIMIT),
+                        new HttpRequestEncoder(), link);
             }
         }).connect(pool.address);
         link.channel = opening.channel();
@@ -156,7 +165,6 @@
 
     private void carry(Link link, Outgoing call) {
         link.call = call;
-        link.answered = false;
         link.written = false;
         call.link = link;
         staged.add(call);
@@ -212,6 +220,7 @@
     private void write(Outgoing call, long budgetMs) {
         Link link = call.link;
         String host = Addresses.text(link.pool.address);
+        link.expect();
         link.channel.writeAndFlush(CallCodec.request(call.held.submission, host, budgetMs)).addListener(done -> {
             link.written = done.isSuccess();
             if (!done.isSuccess()) {
@@ -225,7 +234,13 @@
         boolean written = call.link != null && call.link.written;
         boolean waits = staged.contains(call);
         abandon(call);
-        end(call, written ? new Outcome.TimedOut() : waits ? new Outcome.NotSent(false) : new Outcome.Unreached());
+        end(call, relayed(call) ? new Outcome.Relayed() : written ? new Outcome.TimedOut()
+                : waits ? new Outcome.NotSent(false) : new Outcome.Unreached());
+    }
+
+    /** Guards against sending again what was relayed: a first line with 200 is true, whatever follows it. */
+    private static boolean relayed(Outgoing call) {
+        return call.link != null && call.link.start.status() == 200;
     }
 
     /** Stops waiting for a connect; its outcome is reported in a later turn. */
@@ -233,8 +248,8 @@
         Outgoing call = out.get(connect);
         if (call != null) {
             abandon(call);
-            loop.execute(() -> end(call, call.link != null && call.link.written ? new Outcome.CalledOff()
-                    : new Outcome.NotSent(false)));
+            loop.execute(() -> end(call, relayed(call) ? new Outcome.Relayed()
+                    : call.link != null && call.link.written ? new Outcome.CalledOff() : new Outcome.NotSent(false)));
         }
     }
 
@@ -286,46 +301,80 @@
         }
     }
 
+    /** Guards the log: an endpoint that spoils many answers makes one line in a while. */
+    private void complain(Pool pool, String why) {
+        spoilt++;
+        if (host.turn() >= quietUntil) {
+            quietUntil = host.turn() + QUIET;
+            LOG.log(Level.WARNING, "answers that can''t be read: {0} so far, last from {1}: {2}", spoilt,
+                    Addresses.text(pool.address), why);
+        }
+    }
+
     /** One connection. */
-    private final class Link extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Link extends SimpleChannelInboundHandler<Object> {
         final Pool pool;
+        final AnswerStart start = new AnswerStart(this::begun);
         Channel channel;
         Outgoing call;
         boolean written;
-        boolean answered;
         private boolean keepAlive = true;
+        private HttpResponseDecoder decoder;
+        private Future<?> late;
         private Future<?> idleEnd;
 
         Link(Pool pool) {
             this.pool = pool;
         }
 
-        @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-            if (message.decoderResult().isFailure()) {
-                LOG.log(Level.WARNING, "answer from {0} can''t be read: {1}", Addresses.text(pool.address),
-                        message.decoderResult().cause().getMessage());
-                close();
-                return;
-            }
-            if (message instanceof HttpResponse response && response.status().code() >= 200) {
+        /** Each answer is read by a decoder of its own: what one leaves unread can't get into the next. */
+        void expect() {
+            decoder = new HttpResponseDecoder();
+            channel.pipeline().addAfter(channel.pipeline().context(start).name(), null, decoder);
+            start.expect();
+        }
+
+        private void begun() {
+            late = loop.schedule(() -> spoiltBy("it does not end"), ANSWER_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+            if (!(message instanceof FullHttpResponse response)) {
+                spoiltBy("more than belongs to it");
+            } else if (response.decoderResult().isFailure()) {
+                spoiltBy(response.decoderResult().cause().getMessage());
+            } else if (call != null) {
                 keepAlive = HttpUtil.isKeepAlive(response);
-                answered = true;
-                if (call != null) {
-                    CallAnswer answer = codec.answer(response);
-                    if (!answer.understood()) {
-                        LOG.log(Level.WARNING, "answer {0} from {1} is not of the protocol", response.status().code(),
-                                Addresses.text(pool.address));
-                    }
-                    end(call, answer);
+                CallAnswer answer = codec.answer(response);
+                if (!answer.understood()) {
+                    complain(pool, "status " + response.status().code());
                 }
-            }
-            if (message instanceof LastHttpContent && answered) {
+                end(call, answer);
+                start.ended();
+                late.cancel(false);
+                // What follows the answer comes out here, and closes the connection.
+                channel.pipeline().remove(decoder);
                 rest();
             }
         }
 
+        /** The connection serves no further use. An answer counts only whole, unless its first line says 200. */
+        private void spoiltBy(String why) {
+            complain(pool, why);
+            close();
+            endBroken();
+        }
+
+        private void endBroken() {
+            if (call != null) {
+                end(call, relayed(call) ? new Outcome.Relayed() : written ? new Outcome.Broken()
+                        : new Outcome.Unreached());
+            }
+        }
+
         /** Nothing is out on the connection any more. */
         void rest() {
+            call = null;
             if (!keepAlive || !channel.isActive() || idleLimit == 0) {
                 close();
                 return;
@@ -349,6 +398,9 @@
 
         void close() {
             stopIdling();
+            if (late != null) {
+                late.cancel(false);
+            }
             pool.idle.remove(this);
             idle.remove(this);
             if (channel != null) {
@@ -358,13 +410,15 @@
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             close();
-            if (call != null) {
-                end(call, written ? new Outcome.Broken() : new Outcome.Unreached());
-            }
+            endBroken();
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            if (cause instanceof CodecException) {
+                spoiltBy(cause.getMessage());
+            } else {
+                ctx.close();
+            }
         }
     }
 }
--- a/src/main/java/wrenreach/net/Discovery.java
+++ b/src/main/java/wrenreach/net/Discovery.java
@@ -30,7 +30,10 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Follows the list of endpoints. While it can't, the node goes on with what it knows. */
@@ -39,6 +42,8 @@
     private static final int LINE_LIMIT = 4 << 20;
     /** A watch says something every 2 s: two lines missed, and it is made anew. */
     private static final long SILENCE_MS = 4500, CONNECT_MS = 1000, AGAIN_MS = 250;
+    /** The whole list is answered at once. */
+    private static final long WHOLE_MS = 1000;
 
     /** What discovery reports. */
     public interface Host {
@@ -50,10 +55,15 @@
 
     private final EventLoop loop;
     private final Host host;
-    private final InetSocketAddress address;
     private final boolean again;
     private final Bootstrap bootstrap;
+    private InetSocketAddress address;
     private long index;
+    /** Whether the version known is one of this address. */
+    private boolean versionHolds = true;
+    private boolean following;
+    /** Connections in use; those left behind by a move are none of them. */
+    private final Set<Channel> open = new LinkedHashSet<>();
     private boolean silent;
     private boolean stopped;
 
@@ -69,9 +79,14 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_MS);
     }
 
-    /** Asks for changes from the last known version on. */
+    /** Asks for changes from the last known version on, and for the whole list first where that is in doubt. */
     public void follow() {
-        ask("/api/targets?stream=1&index=" + index, new ChannelInitializer<SocketChannel>() {
+        following = true;
+        if (!versionHolds) {
+            whole(true);
+            return;
+        }
+        ask("/api/targets?stream=1&index=" + index, true, new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel channel) {
                 channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
                         new HttpClientCodec(), new Contents(), new LineBasedFrameDecoder(LINE_LIMIT), new Lines());
@@ -81,28 +96,55 @@
 
     /** Asks once for the whole list. */
     public void fetch() {
-        ask("/api/targets", new ChannelInitializer<SocketChannel>() {
+        whole(false);
+    }
+
+    private void whole(boolean thenFollow) {
+        ask("/api/targets", thenFollow, new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
-                        new HttpClientCodec(), new HttpObjectAggregator(LINE_LIMIT), new Whole());
+                channel.pipeline().addLast(new ReadTimeoutHandler(WHOLE_MS, TimeUnit.MILLISECONDS),
+                        new HttpClientCodec(), new HttpObjectAggregator(LINE_LIMIT), new Whole(thenFollow));
             }
         });
     }
 
+    /**
+     * Goes on at another address. Guards against news of the old one coming late, and against versions that mean
+     * something else at the new one: what is open is left behind, and the whole list is taken first.
+     */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        versionHolds = false;
+        List<Channel> left = new ArrayList<>(open);
+        open.clear();
+        left.forEach(Channel::close);
+        if (following && !stopped) {
+            follow();
+        }
+    }
+
     public void stop() {
         stopped = true;
     }
 
-    private void ask(String path, ChannelInitializer<SocketChannel> handlers) {
-        bootstrap.clone().handler(handlers).connect(address).addListener(done -> {
-            if (!done.isSuccess()) {
-                broken("no connection", path.contains("stream"));
-                return;
+    private void ask(String path, boolean watch, ChannelInitializer<SocketChannel> handlers) {
+        ChannelFuture opening = bootstrap.clone().handler(handlers).connect(address);
+        Channel channel = opening.channel();
+        open.add(channel);
+        opening.addListener(done -> {
+            if (!open.contains(channel)) {
+                channel.close();
+            } else if (!done.isSuccess()) {
+                open.remove(channel);
+                broken("no connection", watch);
+            } else {
+                DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+                get.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
+                channel.writeAndFlush(get);
             }
-            Channel channel = ((ChannelFuture) done).channel();
-            DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
-            get.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
-            channel.writeAndFlush(get);
         });
     }
 
@@ -117,18 +159,20 @@
         if (again && watch) {
             loop.schedule(this::follow, AGAIN_MS, TimeUnit.MILLISECONDS);
         } else {
+            following &= !watch;
             host.listFailed();
         }
     }
 
-    private void read(ByteBuf text) {
+    private void read(Channel from, ByteBuf text) {
         byte[] line = ByteBufUtil.getBytes(text);
-        if (new String(line, StandardCharsets.ISO_8859_1).isBlank()) {
+        if (!open.contains(from) || new String(line, StandardCharsets.ISO_8859_1).isBlank()) {
             return;
         }
         try {
             ListLine list = ListReader.read(line);
             index = list.index();
+            versionHolds = true;
             if (silent) {
                 silent = false;
                 LOG.log(Level.INFO, "discovery: heard again, list {0}", index);
@@ -158,14 +202,13 @@
 
     private abstract class Answers<T> extends SimpleChannelInboundHandler<T> {
         private final boolean watch;
-        boolean done;
 
         Answers(boolean watch) {
             this.watch = watch;
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
-            if (!done) {
+            if (open.remove(ctx.channel())) {
                 broken("silent or closed", watch);
             }
         }
@@ -181,19 +224,24 @@
         }
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-            read(line);
+            read(ctx.channel(), line);
         }
     }
 
     private final class Whole extends Answers<FullHttpResponse> {
-        Whole() {
-            super(false);
+        private final boolean thenFollow;
+
+        Whole(boolean thenFollow) {
+            super(thenFollow);
+            this.thenFollow = thenFollow;
         }
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.status().code() == 200) {
-                done = true;
-                read(response.content());
+            if (response.status().code() == 200 && response.decoderResult().isSuccess()) {
+                read(ctx.channel(), response.content());
+                if (open.remove(ctx.channel()) && thenFollow) {
+                    follow();
+                }
             }
             ctx.close();
         }
--- a/src/main/java/wrenreach/net/Notices.java
+++ b/src/main/java/wrenreach/net/Notices.java
@@ -45,9 +45,9 @@
     private static final int BATCH = 200;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final Consumer<HeldMail> heard;
     private final Set<HeldMail> untold = new LinkedHashSet<>();
+    private InetSocketAddress address;
     private List<HeldMail> posted = List.of();
     private Channel channel;
     private boolean opening;
@@ -89,6 +89,27 @@
         channel.writeAndFlush(post);
     }
 
+    /** Posts to another address; what was posted to the old one and not answered goes out there once more. */
+    public void move(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            leave();
+            flush();
+        }
+    }
+
+    private void leave() {
+        posted = List.of();
+        if (patience != null) {
+            patience.cancel(false);
+        }
+        if (channel != null) {
+            Channel old = channel;
+            channel = null;
+            old.close();
+        }
+    }
+
     static byte[] body(List<HeldMail> ended) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try {
@@ -112,6 +133,7 @@
 
     private void open() {
         opening = true;
+        InetSocketAddress to = address;
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
@@ -120,9 +142,12 @@
                         fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_LIMIT),
                                 new Answers());
                     }
-                }).connect(address).addListener(done -> {
+                }).connect(to).addListener(done -> {
                     opening = false;
-                    if (done.isSuccess()) {
+                    if (!to.equals(address)) {
+                        ((ChannelFuture) done).channel().close();
+                        flush();
+                    } else if (done.isSuccess()) {
                         channel = ((ChannelFuture) done).channel();
                         flush();
                     } else {
@@ -137,15 +162,7 @@
             failing = true;
             LOG.log(Level.WARNING, "notices: {0}; {1} kept and sent again", why, untold.size());
         }
-        posted = List.of();
-        if (patience != null) {
-            patience.cancel(false);
-        }
-        if (channel != null) {
-            Channel old = channel;
-            channel = null;
-            old.close();
-        }
+        leave();
         loop.schedule(this::flush, AGAIN_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/main/java/wrenreach/node/Config.java
+++ b/src/main/java/wrenreach/node/Config.java
@@ -34,7 +34,10 @@
     // A protocol that carries one mail a call has no calls of several: kinds are read as if they allowed one.
     private static final String BATCH = "FamilyInfo.BatchByKind";
 
-    /** Reads the file; environment: GW_LISTEN and GW_DISCOVERY there go before the file's. */
+    /**
+     * Reads the file; environment: GW_LISTEN there goes before the file's. GW_DISCOVERY only stands in where the file
+     * names no address: the file can be replaced while the node runs, and is then the newer of the two.
+     */
     public static Config read(Path file, Map<String, String> environment) throws Unusable {
         try {
             return parse(Files.readAllBytes(file), environment);
@@ -61,6 +64,9 @@
                 }
             }
         }
+        if (environment.containsKey("GW_DISCOVERY")) {
+            flat.putIfAbsent("discovery", environment.get("GW_DISCOVERY"));
+        }
         Map<String, String> settings = new LinkedHashMap<>();
         flat.forEach((path, value) -> {
             if (path.startsWith("settings.") && !path.equals("settings." + BATCH)) {
@@ -72,7 +78,7 @@
         long seed = Long.parseUnsignedLong(flat.getOrDefault("seed", "0"), 16);
         return new Config(flat.getOrDefault("name", "node"),
                 Addresses.parse(environment.getOrDefault("GW_LISTEN", needed(flat, "listen"))),
-                Addresses.parse(environment.getOrDefault("GW_DISCOVERY", needed(flat, "discovery"))),
+                Addresses.parse(needed(flat, "discovery")),
                 (int) number(flat, "limits.sockets"), (long) (1_000_000 * number(flat, "limits.memory_mb")),
                 (long) (1_000_000 * number(flat, "limits.disk_mb")), known,
                 SettingsText.read(text.toString(), seed), names(settings, "Classes"), names(settings, "Tenants"),
--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -125,6 +125,16 @@
         }
     }
 
+    /** Discovery and the platform are to be had at this address from now on; safe from any thread. */
+    void discoverAt(InetSocketAddress address) {
+        if (!group.isShuttingDown()) {
+            loop.execute(() -> {
+                discovery.move(address);
+                notices.move(address);
+            });
+        }
+    }
+
     private void move(Phase next) {
         LOG.log(Level.INFO, "phase {0} -> {1}", phase, next);
         phase = phase.to(next);
--- a/src/main/java/wrenreach/node/Main.java
+++ b/src/main/java/wrenreach/node/Main.java
@@ -91,6 +91,9 @@
         System.getProperties().putIfAbsent("java.util.logging.SimpleFormatter.format",
                 "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        // Before anything else: without a handler the signal ends the process.
+        Reload reload = new Reload(file);
+        Signal.handle(new Signal("HUP"), signal -> reload.signalled());
         Config config;
         try {
             config = Config.read(file, environment);
@@ -114,6 +117,7 @@
             node.serving().thenRun(node::stop);
         }
         node.start();
+        reload.tell(node::discoverAt);
         return node.stopped().join();
     }
 
--- a/src/test/java/wrenreach/net/CallsTest.java
+++ b/src/test/java/wrenreach/net/CallsTest.java
@@ -18,6 +18,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import wrenreach.api.Outcome;
 import wrenreach.held.HeldMail;
 import wrenreach.held.Submission;
@@ -100,8 +103,12 @@
         }).get();
     }
 
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
     private static void answer(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write((text + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        write(socket, text + "\r\nContent-Length: 0\r\n\r\n");
     }
 
     private Outcome outcome() throws InterruptedException {
@@ -179,6 +186,57 @@
         }
     }
 
+    /** Guards mails that were relayed: a first line with 200 holds whatever follows. All else counts only whole. */
+    @ParameterizedTest
+    @CsvSource({"'200 OK\r\nContent-Length: x', Relayed", "'200 OK\r\nContent-Length: 3\r\n\r\n', Relayed",
+        "'200 OK\r\nContent-Length: 3000000000\r\n\r\nxx', Relayed", "'200 OK\r\n: : :\r\n\r\n', Relayed",
+        "'200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', Relayed", "'200 OK', Broken",
+        "'429 No\r\nContent-Length: 3\r\n\r\n', Broken", "'410 No\r\nContent-Length: -1\r\n\r\n', Broken",
+        "'503 No\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', Broken", "'2x0 OK\r\n\r\n', Broken"})
+    void aSpoiltAnswerMayHaveRunButAFirstLineWith200IsTrue(String text, String outcome) throws Exception {
+        send(30 * SECOND);
+        try (Socket socket = accept()) {
+            hear(socket);
+            write(socket, "HTTP/1.1 " + text);
+            if (outcome.equals("Broken")) {
+                socket.shutdownOutput();
+            }
+            assertThat(outcome()).extracting(o -> o.getClass().getSimpleName()).isEqualTo(outcome);
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    /** Guards the next call on a connection: what follows an answer must not be taken for its own. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "\r\n", "x"})
+    void aConnectionThatBringsMoreThanItsAnswerIsNotUsedAgain(String more) throws Exception {
+        send(30 * SECOND);
+        try (Socket socket = accept()) {
+            hear(socket);
+            write(socket, "HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno" + more);
+            assertThat(outcome()).isEqualTo(new Outcome.Full(0));
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+            send(30 * SECOND);
+            try (Socket fresh = accept()) {
+                hear(fresh);
+                answer(fresh, "HTTP/1.1 200 OK");
+                assertThat(outcome()).isEqualTo(new Outcome.Relayed());
+            }
+        }
+    }
+
+    @Test void interimAnswersAreLeftOut() throws Exception {
+        send(30 * SECOND);
+        try (Socket socket = accept()) {
+            hear(socket);
+            for (byte b : ("HTTP/1.1 100 Continue\r\nX: 1\r\n\r\nHTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"
+                    + "HTTP/1.1 429 Full\r\nWait-Ms: 40\r\nContent-Length: 1\r\n\r\nx").getBytes()) {
+                socket.getOutputStream().write(b);
+            }
+            assertThat(outcome()).isEqualTo(new Outcome.Full(40_000));
+        }
+    }
+
     @Test void aRevokedCallEndsItsConnection() throws Exception {
         Connect connect = send(30 * SECOND);
         try (Socket socket = accept()) {
--- a/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -216,6 +216,43 @@
         owedNothing();
     }
 
+    /** Guards endings while the platform moves: what the old address did not answer goes to the new one. */
+    @Test void afterAReloadTheListAndNoticesComeFromTheNewAddress() throws Exception {
+        confirm = 503;
+        owe("a1", false, new Ending(true, 0));
+        InetSocketAddress at = start();
+        assertThat(next()).startsWith("/v2/finals");
+        HttpServer moved = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        moved.createContext("/api/targets", exchange -> {
+            byte[] list = ("{\"index\":3,\"snapshot\":true,\"endpoints\":[{\"name\":\"receiver-2\",\"group\":2,"
+                    + "\"address\":\"127.0.0.1:" + outside.getAddress().getPort() + "\",\"status\":\"SERVING\"}]}\n")
+                    .getBytes(StandardCharsets.UTF_8);
+            exchange.sendResponseHeaders(200, list.length);
+            exchange.getResponseBody().write(list);
+            exchange.close();
+        });
+        moved.createContext("/v2/finals", exchange -> {
+            heard.add("moved " + new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8).strip());
+            exchange.sendResponseHeaders(204, -1);
+            exchange.close();
+        });
+        moved.start();
+        try {
+            node.discoverAt(moved.getAddress());
+            String told = next();
+            while (told.startsWith("/v2/finals")) {
+                told = next();
+            }
+            assertThat(told).isEqualTo("moved {\"id\":\"a1\",\"status\":\"deferred\"}");
+            while (ask(at, enqueue("b1", "c=order,t=shop,d=9000,dest=2"), 1).startsWith("-ERR")) {
+                Thread.onSpinWait();
+            }
+            assertThat(next()).isEqualTo("/events b1 body");
+        } finally {
+            moved.stop(0);
+        }
+    }
+
     @Test void aStopKeepsWhatCouldNotBeRelayed() throws Exception {
         answer = 503;
         InetSocketAddress at = start();
