Gone endpoints are dropped; clients that do not ask in time are turned away

Reading: Choice.listed only marked gone endpoints not ready, so Route.endpoints grew and places shrank with each replacement; DeliveryNode.names, Calls.pools, toldUntil and Directory.endpoints only grew. Now what a list names gone or leaves out leaves the module, its idle connections close, and the directory drops it once its number has doubled. Now 2 s from the first byte or from connecting, 5 s idle; those that never asked have half of the room; a request without end is refused after 80 KiB (RedisDecoder has no limit on a length's digits); an id still open elsewhere is an error. Tests fail without each: places, directory, silent and half requests, a silent crowd.

--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -117,7 +117,6 @@
             mail.dueBy = mail.endsBy;
         }
         mail.overShare = overShare(mail, now);
-        know(mail.to);
         if (mail.key != null && kind.inOrder()) {
             mail.key.mails.addLast(mail);
         }
@@ -171,22 +170,22 @@
             askAt = now + askEvery + (long) (askEvery * chance(askEvery));
             return take();
         }
+        List<Endpoint> left = new ArrayList<>();
         if (listing.scope() != Listing.Scope.CHANGES) {
-            for (Destination d : known) {
-                d.endpoints.forEach(e -> e.ready = false);
-            }
+            known.forEach(d -> left.addAll(d.endpoints));
         }
         for (Listing.Entry entry : listing.entries()) {
             Endpoint e = entry.endpoint();
-            know(e.to);
-            if (e.route == null) {
+            left.remove(e);
+            if (entry.state() == Listing.State.GONE) {
+                left.add(e);
+            } else {
                 join(e);
-            }
-            e.ready = entry.state() == Listing.State.READY;
-            if (entry.weight() > 0 && e.ready) {
-                e.route.weight = entry.weight();
+                e.ready = entry.state() == Listing.State.READY;
+                e.route.weight = entry.weight() > 0 && e.ready ? entry.weight() : e.route.weight;
             }
         }
+        left.forEach(Choice::leave);
         return take();
     }
 
@@ -675,9 +674,7 @@
         if (outcome instanceof Outcome.Unreached && r.unreachedAt <= r.relayedAt) {
             r.unreachedAt = now;
         }
-        if (r.downSince <= r.relayedAt) {
-            r.downSince = now;
-        }
+        r.downSince = r.downSince <= r.relayedAt ? now : r.downSince;
         if (outcome instanceof Outcome.Relayed) {
             relayed(r, c, now);
         } else if (outcome instanceof Outcome.Full full) {
@@ -707,9 +704,7 @@
         }
         c.endpoint.failedRun = 0;
         c.endpoint.relayedAt = now;
-        if (r.cold && r.warmsFrom == NEVER) {
-            r.warmsFrom = now;
-        }
+        r.warmsFrom = r.cold && r.warmsFrom == NEVER ? now : r.warmsFrom;
         Breaker b = r.breaker;
         if (b.phase == Breaker.Phase.CLOSED) {
             b.failedRun = 0;
@@ -909,12 +904,11 @@
     }
 
     private static boolean ranMaybe(Mail m) {
+        boolean ran = false;
         for (Connect c : m.connects) {
-            if (!c.neverRan) {
-                return true;
-            }
+            ran |= !c.neverRan;
         }
-        return false;
+        return ran;
     }
 
     /** The door of every ending. */
@@ -936,12 +930,7 @@
         if (kind.effect() == Settings.Effect.ONCE_ONLY || kind.repeatGroup() != Settings.RepeatGroup.ALL) {
             return false;
         }
-        for (Connect c : m.connects) {
-            if (!c.neverRan && now > c.sentAt + kind.repeatWindow()) {
-                return false;
-            }
-        }
-        return true;
+        return m.connects.stream().allMatch(c -> c.neverRan || now <= c.sentAt + kind.repeatWindow());
     }
 
     private void finish(Mail m) {
@@ -960,13 +949,6 @@
 
     // ---- List ----
 
-    private void know(Destination d) {
-        if (!d.known) {
-            d.known = true;
-            known.add(d);
-        }
-    }
-
     private void wait(Mail m, int at) {
         m.to.line.add(at, m);
         if (!m.to.busy) {
@@ -976,23 +958,41 @@
     }
 
     private void join(Endpoint e) {
+        if (e.to.endpoints.contains(e)) {
+            return;
+        }
+        if (!e.to.known) {
+            e.to.known = true;
+            known.add(e.to);
+        }
+        List<Route> routes = e.to.routes;
         boolean apart = e.kind < kinds.size() && kinds.get(e.kind).routesApart();
-        if (apart || e.to.routes.isEmpty()) {
-            String name = "destination " + e.to.number + (apart ? " route " + e.to.routes.size() : "");
-            Route r = new Route(name, Math.min(e.kind, kinds.size()), RING,
+        if (e.route == null && !apart && !routes.isEmpty()) {
+            e.route = routes.get(routes.size() - 1);
+        } else if (e.route == null) {
+            String name = "destination " + e.to.number + (apart ? " route " + routes.size() : "");
+            e.route = new Route(name, Math.min(e.kind, kinds.size()), RING,
                     (long) (RING_SPAN * target / RING), (long) (CAME_SPAN * target / RING));
-            r.usual = FIRST_USUAL * target;
-            r.recent = r.usual;
-            r.learnt = FIRST_LEARNT;
-            r.share = 1;
-            r.tokens = 1;
-            e.to.routes.add(r);
-        }
-        e.route = e.to.routes.get(e.to.routes.size() - 1);
+            e.route.recent = e.route.usual = FIRST_USUAL * target;
+            e.route.learnt = FIRST_LEARNT;
+        }
+        if (!routes.contains(e.route)) {
+            routes.removeIf(r -> r.endpoints == 0);
+            routes.add(e.route);
+        }
         e.route.endpoints++;
         e.to.endpoints.add(e);
     }
 
+    /** Guards memory, and the places of those that stay, against endpoints gone for good: new ones come all day. */
+    private static void leave(Endpoint e) {
+        e.ready = false;
+        if (e.to.endpoints.remove(e)) {
+            e.route.endpoints--;
+            e.to.routes.removeIf(r -> r.endpoints == 0 && e.to.routes.size() > 1);
+        }
+    }
+
     // ---- Small helps ----
 
     private Settings.QueueClass classOf(Mail m) {
--- a/src/main/java/wrenreach/held/Directory.java
+++ b/src/main/java/wrenreach/held/Directory.java
@@ -15,6 +15,7 @@
     private final Map<I, Endpoint> endpoints = new HashMap<>();
     private final Map<I, OrderKey> keys = new HashMap<>();
     private int sweepAt = FIRST_SWEEP;
+    private int sweepEndpointsAt = FIRST_SWEEP;
 
     public Destination destination(int number) {
         return destinations.computeIfAbsent(number, Destination::new);
@@ -23,7 +24,7 @@
     /** Whether a destination of this number has been named by a list. */
     public boolean listed(int number) {
         Destination d = destinations.get(number);
-        return d != null && !d.endpoints.isEmpty();
+        return d != null && d.known;
     }
 
     /** The endpoint of this id, or null. */
@@ -39,11 +40,18 @@
         return keys.computeIfAbsent(id, i -> new OrderKey());
     }
 
-    /** Drops keys that nothing waits for, once their number has doubled. */
-    public void sweepKeys(long now) {
+    /**
+     * Drops keys that nothing waits for, and endpoints that no list names, once their number has doubled. An endpoint
+     * that was gone for a short time only comes back as it was.
+     */
+    public void sweep(long now) {
         if (keys.size() >= sweepAt) {
             keys.values().removeIf(key -> key.mails.isEmpty() && key.restsUntil <= now);
             sweepAt = 2 * keys.size() + FIRST_SWEEP;
         }
+        if (endpoints.size() >= sweepEndpointsAt) {
+            endpoints.values().removeIf(e -> !e.to.endpoints.contains(e) && e.out == 0);
+            sweepEndpointsAt = 2 * endpoints.size() + FIRST_SWEEP;
+        }
     }
 }
--- a/src/main/java/wrenreach/held/HeldMails.java
+++ b/src/main/java/wrenreach/held/HeldMails.java
@@ -45,6 +45,12 @@
         return byId.containsKey(id);
     }
 
+    /** Whether the mail of this id has been taken on. */
+    public boolean owes(String id) {
+        HeldMail held = byId.get(id);
+        return held != null && held.owed;
+    }
+
     public HeldMail of(Mail mail) {
         return byMail.get(mail);
     }
--- a/src/main/java/wrenreach/net/Calls.java
+++ b/src/main/java/wrenreach/net/Calls.java
@@ -25,6 +25,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import wrenreach.api.Outcome;
@@ -65,6 +66,7 @@
     /** Where an endpoint listens and its connections that stand idle, latest used last. */
     private static final class Pool {
         InetSocketAddress address;
+        boolean gone;
         final Deque<Link> idle = new ArrayDeque<>(4);
     }
 
@@ -120,6 +122,18 @@
         }
     }
 
+    /** Drops all but these endpoints; their idle connections close, and those in use do so after their call. */
+    public void keepOnly(Set<Endpoint> listed) {
+        pools.entrySet().removeIf(entry -> {
+            boolean gone = !listed.contains(entry.getKey());
+            if (gone) {
+                entry.getValue().gone = true;
+                new ArrayList<>(entry.getValue().idle).forEach(Link::close);
+            }
+            return gone;
+        });
+    }
+
     public int underWay() {
         return out.size();
     }
@@ -172,6 +186,7 @@
 
     /** The module has heard a told wait: nothing unwritten goes to this route before it is over. */
     private void toldToWait(Route route, long until) {
+        toldUntil.values().removeIf(passed -> passed <= host.turn());
         toldUntil.merge(route, until, Math::max);
     }
 
@@ -375,7 +390,7 @@
         /** Nothing is out on the connection any more. */
         void rest() {
             call = null;
-            if (!keepAlive || !channel.isActive() || idleLimit == 0) {
+            if (!keepAlive || !channel.isActive() || idleLimit == 0 || pool.gone) {
                 close();
                 return;
             }
--- a/src/main/java/wrenreach/net/Door.java
+++ b/src/main/java/wrenreach/net/Door.java
@@ -24,6 +24,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Where clients hand in mails. Replies wait for the end of the turn and go out in the order of the requests. */
 public final class Door {
@@ -31,6 +32,10 @@
     private static final int LINE_LIMIT = 1024, READ_LIMIT = 16 * 1024, READS = 16;
     /** What one client's unfinished request may take. */
     public static final int CLIENT_BYTES = BODY_LIMIT + READ_LIMIT;
+    /** A request is whole so soon after its connection or its first byte; a client may stand idle for so long. */
+    private static final long REQUEST_MS = 2000, IDLE_MS = 5000, LOOK_MS = 250;
+    /** Requests that one client may have open: the protocol's clients have one. */
+    private static final int OPEN_LIMIT = 64;
 
     /** What the door reports. */
     public interface Host {
@@ -42,11 +47,14 @@
     public static final class Asked {
         public final Request request;
         private final Client client;
+        /** Whether nothing is read after it. */
+        private final boolean last;
         private Reply reply;
 
-        Asked(Request request, Client client) {
+        Asked(Request request, Client client, boolean last) {
             this.request = request;
             this.client = client;
+            this.last = last;
         }
 
         /** Whether the client has closed its connection. */
@@ -62,7 +70,9 @@
     private final EventLoopGroup loop;
     private final Host host;
     private final int limit;
-    /** Least lately used first. */
+    /** Those that never asked for anything, in the order they came. */
+    private final Set<Client> silent = new LinkedHashSet<>();
+    /** The others, least lately used first. */
     private final Set<Client> clients = new LinkedHashSet<>();
     private final List<Client> asking = new ArrayList<>();
     private Channel listener;
@@ -88,10 +98,12 @@
                                 .respectMaybeMoreData(false).maxMessagesPerRead(READS))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(codecs(BODY_LIMIT)).addLast(new Client());
+                        Client client = new Client();
+                        channel.pipeline().addLast(client.guard).addLast(codecs(BODY_LIMIT)).addLast(client);
                     }
                 }).bind(address);
         listener = bound.channel();
+        loop.next().scheduleWithFixedDelay(this::closeOverdue, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
@@ -109,9 +121,29 @@
         if (listener != null) {
             listener.close();
         }
+        new ArrayList<>(silent).forEach(Client::closeIfIdle);
         new ArrayList<>(clients).forEach(Client::closeIfIdle);
     }
 
+    /** Guards descriptors against clients that say nothing, half a request, or stay when they have what they want. */
+    private void closeOverdue() {
+        long now = System.nanoTime();
+        for (Client client : new ArrayList<>(silent)) {
+            if (client.since < now - TimeUnit.MILLISECONDS.toNanos(REQUEST_MS)) {
+                client.giveUp();
+            }
+        }
+        for (Client client : new ArrayList<>(clients)) {
+            if (client.guard.midway()) {
+                if (client.guard.begun() < now - TimeUnit.MILLISECONDS.toNanos(REQUEST_MS)) {
+                    client.giveUp();
+                }
+            } else if (client.since < now - TimeUnit.MILLISECONDS.toNanos(IDLE_MS)) {
+                client.closeIfIdle();
+            }
+        }
+    }
+
     /** Sends the replies of the turn. */
     public void flush() {
         List<Client> answered = new ArrayList<>(asking);
@@ -120,37 +152,56 @@
         makeRoom();
     }
 
-    /** Guards the descriptors: surplus connections between requests are closed, those longest unused first. */
+    /**
+     * Guards the descriptors: surplus connections between requests are closed, those longest unused first. Those that
+     * never asked have half of the room at most, so a crowd that says nothing does not push out those that ask.
+     */
     private void makeRoom() {
-        Iterator<Client> oldest = new ArrayList<>(clients).iterator();
-        while (clients.size() > limit && oldest.hasNext()) {
-            oldest.next().closeIfIdle();
+        makeRoom(silent, Math.max(1, limit / 2));
+        makeRoom(clients, limit - silent.size());
+    }
+
+    private static void makeRoom(Set<Client> among, int most) {
+        if (among.size() > most) {
+            Iterator<Client> oldest = new ArrayList<>(among).iterator();
+            while (among.size() > most && oldest.hasNext()) {
+                oldest.next().closeIfIdle();
+            }
         }
     }
 
     private final class Client extends SimpleChannelInboundHandler<Request> {
+        final UnfinishedGuard guard = new UnfinishedGuard(CLIENT_BYTES);
         private final List<Asked> open = new ArrayList<>(2);
         private ChannelHandlerContext ctx;
+        /** When it connected, or its last request was there or answered; by System.nanoTime. */
+        private long since = System.nanoTime();
         private boolean closed;
 
         @Override public void channelActive(ChannelHandlerContext context) {
             ctx = context;
-            clients.add(this);
-            if (clients.size() > limit) {
-                makeRoom();
-            }
+            silent.add(this);
+            makeRoom();
         }
 
         @Override protected void channelRead0(ChannelHandlerContext context, Request request) {
-            if (closed) {
+            guard.whole();
+            boolean last = open.size() >= OPEN_LIMIT || request instanceof Request.Unreadable bad && bad.close();
+            if (closed || !open.isEmpty() && open.get(open.size() - 1).last) {
                 return;
             }
+            if (last) {
+                guard.stop();
+            }
+            since = System.nanoTime();
+            silent.remove(this);
             clients.remove(this);
             clients.add(this);
             if (open.isEmpty()) {
                 asking.add(this);
             }
-            Asked asked = new Asked(request, this);
+            Asked asked = new Asked(last && !(request instanceof Request.Unreadable)
+                    ? new Request.Unreadable("too many requests at once", true) : request, this, last);
             open.add(asked);
             host.asked(asked);
         }
@@ -164,6 +215,7 @@
                 }
             }
             open.clear();
+            since = System.nanoTime();
             if (!closed) {
                 ctx.flush();
             }
@@ -172,9 +224,21 @@
             }
         }
 
+        /** Half a request, or none, and its time is over. */
+        private void giveUp() {
+            if (guard.midway() && open.isEmpty()) {
+                ctx.writeAndFlush(new Reply.Error("request took too long", true));
+                guard.whole();
+            }
+            closeIfIdle();
+        }
+
         private void closeIfIdle() {
-            if (open.isEmpty() && !closed) {
+            boolean reads = guard.midway() && clients.contains(this);
+            if (open.isEmpty() && !closed && !reads) {
                 closed = true;
+                guard.stop();
+                silent.remove(this);
                 clients.remove(this);
                 ctx.close();
             }
@@ -182,6 +246,7 @@
 
         @Override public void channelInactive(ChannelHandlerContext context) {
             closed = true;
+            silent.remove(this);
             clients.remove(this);
             open.clear();
         }
--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -79,6 +79,7 @@
     private long now;
     private long wallAhead;
     private long quietUntil;
+    private long endpointsSeen;
     private boolean doorOpen;
     private boolean sending = true;
 
@@ -221,7 +222,7 @@
     private void decide() {
         withdrawAbandoned();
         calls.dropForbidden();
-        directory.sweepKeys(now);
+        directory.sweep(now);
         if (sending) {
             answers.addAll(module.next(now));
         }
@@ -300,8 +301,9 @@
             return;
         }
         if (held.holds(s.id())) {
-            // Guards a request sent once more on a new connection: it is owed already.
-            asked.answer(new Reply.Taken());
+            // Guards a request sent once more on a new connection: it is owed already. One that is still open is
+            // another client's, who gets the answer.
+            asked.answer(held.owes(s.id()) ? new Reply.Taken() : new Reply.Error("id in use", false));
             return;
         }
         boolean fits = journal.fits(s.body().length, fresh.size(), settings.connectLimit());
@@ -388,7 +390,7 @@
         for (ListLine.Entry entry : line.entries()) {
             Destination to = directory.destination(entry.group());
             int kind = config.kinds().indexOf(entry.type());
-            Endpoint endpoint = directory.endpoint(entry.name(), () -> new Endpoint(names.size(), to,
+            Endpoint endpoint = directory.endpoint(entry.name(), () -> new Endpoint(endpointsSeen++, to,
                     kind < 0 ? config.kinds().size() : kind, config.zones().indexOf(entry.zone())));
             names.putIfAbsent(endpoint, entry.name());
             Listing.State state = switch (entry.status()) {
@@ -406,6 +408,9 @@
             }
         }
         answers.addAll(module.listed(new Listing(scope, entries), now));
+        // Guards memory and descriptors: new endpoints under new ids replace old ones for as long as the node runs.
+        names.keySet().removeIf(endpoint -> !endpoint.to.endpoints.contains(endpoint));
+        calls.keepOnly(names.keySet());
     }
 
     // ---- Stop ----
--- a/src/main/java/wrenreach/state/Route.java
+++ b/src/main/java/wrenreach/state/Route.java
@@ -20,9 +20,9 @@
     public boolean limitSeen;
     public double left = 1;
     public long leftAt;
-    public double share;
+    public double share = 1;
     public long shareAt;
-    public double tokens;
+    public double tokens = 1;
     public long tokensAt;
     public long heldUntil;
     public int deferredRun;
--- a/src/main/java/wrenreach/wirehost/Node.java
+++ b/src/main/java/wrenreach/wirehost/Node.java
@@ -70,7 +70,7 @@
     }
 
     void next(long now) {
-        directory.sweepKeys(now);
+        directory.sweep(now);
         answers.addAll(module.next(now));
     }
 
--- a/src/test/java/wrenreach/ChoiceTest.java
+++ b/src/test/java/wrenreach/ChoiceTest.java
@@ -611,4 +611,35 @@
         s.turn(3000);
         assertThat(s.ever(Answer.FollowList.class)).hasSize(2);
     }
+
+    /** Guards memory and places: what is gone, named so or left out of a whole list, counts no more. */
+    @Test void endpointsThatAreGoneAreForgotten() {
+        Setup one = new Setup();
+        Endpoint stays = one.endpoint(1, 0);
+        for (int i = 2; i < 50; i++) {
+            Endpoint passing = one.endpoint(i, 0);
+            if (i % 2 == 0) {
+                one.list(passing, Listing.State.GONE);
+            } else {
+                one.choice().listed(new Listing(Listing.Scope.WHOLE,
+                        List.of(new Listing.Entry(stays, Listing.State.READY, one.weight))), one.now);
+            }
+            assertThat(passing.ready).isFalse();
+        }
+        assertThat(one.to.endpoints).containsExactly(stays);
+        assertThat(stays.route.endpoints).isEqualTo(1);
+    }
+
+    @Test void aRouteOfItsOwnGoesWithItsEndpointAndComesBackWithIt() {
+        Setup one = new Setup();
+        one.apart = true;
+        Endpoint first = one.endpoint(1, 0);
+        Endpoint second = one.endpoint(2, 0);
+        second.route.heldUntil = one.now + 500 * Setup.MS;
+        one.list(second, Listing.State.GONE);
+        assertThat(one.to.routes).containsExactly(first.route);
+        one.list(second, Listing.State.READY);
+        assertThat(one.to.routes).containsExactly(first.route, second.route);
+        assertThat(second.route.heldUntil).isGreaterThan(one.now);
+    }
 }
--- /dev/null
+++ b/src/test/java/wrenreach/held/DirectoryTest.java
@@ -0,0 +1,33 @@
+package wrenreach.held;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import wrenreach.state.Endpoint;
+
+class DirectoryTest {
+    private final Directory<String> directory = new Directory<>();
+
+    private Endpoint endpoint(int number, boolean listed) {
+        Endpoint endpoint = directory.endpoint("s-" + number,
+                () -> new Endpoint(number, directory.destination(1), 0, 0));
+        if (listed) {
+            endpoint.to.endpoints.add(endpoint);
+        }
+        return endpoint;
+    }
+
+    /** Guards memory: new endpoints under new ids replace old ones for as long as a node runs. */
+    @Test void endpointsThatNoListNamesAreDroppedUnlessACallIsOut() {
+        Endpoint listed = endpoint(-1, true);
+        Endpoint called = endpoint(-2, false);
+        called.out = 1;
+        for (int i = 0; i < 1000; i++) {
+            endpoint(i, false);
+            directory.sweep(0);
+        }
+        assertThat(directory.endpoint("s--1")).isSameAs(listed);
+        assertThat(directory.endpoint("s--2")).isSameAs(called);
+        assertThat(directory.endpoint("s-1")).isNull();
+    }
+}
--- a/src/test/java/wrenreach/held/HeldMailsTest.java
+++ b/src/test/java/wrenreach/held/HeldMailsTest.java
@@ -52,7 +52,7 @@
 
     @Test void whatNoListOrSettingNamesIsObjectedTo() {
         assertThat(mails.objection(held.submission)).isEqualTo("unknown destination");
-        directory.destination(1).endpoints.add(new Endpoint(1, directory.destination(1), 0, 0));
+        directory.destination(1).known = true;
         assertThat(mails.objection(held.submission)).isNull();
         assertThat(mails.objection(new Submission("a", "", "other", "shop", "", 1, new byte[0])))
                 .isEqualTo("unknown class");
@@ -63,6 +63,9 @@
     @Test void aForgottenMailIsHeldNoMore() {
         Mail mail = mails.hold(held, NOW, AHEAD);
         assertThat(mails.holds("a")).isTrue();
+        assertThat(mails.owes("a")).isFalse();
+        held.owed = true;
+        assertThat(mails.owes("a")).isTrue();
         mails.forget(held);
         assertThat(mails.holds("a")).isFalse();
         assertThat(mails.of(mail)).isNull();
--- a/src/test/java/wrenreach/net/CodecTest.java
+++ b/src/test/java/wrenreach/net/CodecTest.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -83,6 +84,27 @@
         assertThat(got()).isNull();
     }
 
+    /** Guards memory: a length or a line without end is refused before it is all there. */
+    @ParameterizedTest
+    @ValueSource(strings = {"$", "*5\r\n$", "*1\r\n$3", "PING"})
+    void whatNeverEndsIsRefused(String text) {
+        UnfinishedGuard guard = new UnfinishedGuard(4096);
+        EmbeddedChannel client = new EmbeddedChannel();
+        client.pipeline().addLast(guard).addLast(Door.codecs(64));
+        client.writeInbound(bytes(text));
+        Object refused = null;
+        for (int i = 0; i < 5000 && refused == null; i++) {
+            try {
+                client.writeInbound(bytes("1"));
+                refused = client.readInbound();
+            } catch (DecoderException e) {
+                refused = e;
+            }
+        }
+        assertThat(refused).isNotNull();
+        assertThat(guard.midway()).isTrue();
+    }
+
     @Test void whatIsNoCommandIsRefused() {
         door.writeInbound(bytes("GET / HTTP/1.1\r\n"));
         assertThat(((Request.Unreadable) got()).close()).isTrue();
--- a/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -169,17 +169,50 @@
     @Test void surplusClientsAreClosedThoseLongestUnusedFirst() throws Exception {
         descriptors = 55;
         InetSocketAddress at = start();
-        try (Socket first = new Socket(at.getAddress(), at.getPort());
-                Socket second = new Socket(at.getAddress(), at.getPort())) {
-            assertThat(ping(first) + ping(second) + ping(first)).isEqualTo(21);
-            try (Socket third = new Socket(at.getAddress(), at.getPort())) {
-                assertThat(ping(third)).isEqualTo(7);
-                assertThat(second.getInputStream().read()).isEqualTo(-1);
-                assertThat(ping(first)).isEqualTo(7);
+        try (Socket first = new Socket(at.getAddress(), at.getPort())) {
+            assertThat(ping(first)).isEqualTo(7);
+            try (Socket second = new Socket(at.getAddress(), at.getPort())) {
+                assertThat(ping(second) + ping(first)).isEqualTo(14);
+                try (Socket third = new Socket(at.getAddress(), at.getPort())) {
+                    assertThat(ping(third)).isEqualTo(7);
+                    assertThat(second.getInputStream().read()).isEqualTo(-1);
+                    assertThat(ping(first)).isEqualTo(7);
+                }
             }
         }
     }
 
+    /** Guards the descriptors against clients that say nothing or half a request, and are owed an end of it. */
+    @Test void whoDoesNotAskInTimeIsTurnedAway() throws Exception {
+        InetSocketAddress at = start();
+        try (Socket silent = new Socket(at.getAddress(), at.getPort());
+                Socket half = new Socket(at.getAddress(), at.getPort())) {
+            silent.setSoTimeout(20_000);
+            half.setSoTimeout(20_000);
+            half.getOutputStream().write("*5\r\n$7\r\nENQ".getBytes(StandardCharsets.US_ASCII));
+            assertThat(silent.getInputStream().read()).isEqualTo(-1);
+            assertThat(new String(half.getInputStream().readAllBytes())).startsWith("-ERR").endsWith("\r\n");
+        }
+    }
+
+    /** Guards clients that ask: a crowd that says nothing is closed before them, however lately it came. */
+    @Test void aSilentCrowdDoesNotPushOutThoseThatAsk() throws Exception {
+        descriptors = 55;
+        InetSocketAddress at = start();
+        try (Socket asks = new Socket(at.getAddress(), at.getPort())) {
+            assertThat(ping(asks)).isEqualTo(7);
+            for (int i = 0; i < 5; i++) {
+                try (Socket silent = new Socket(at.getAddress(), at.getPort());
+                        Socket next = new Socket(at.getAddress(), at.getPort())) {
+                    silent.setSoTimeout(20_000);
+                    assertThat(silent.getInputStream().read()).isEqualTo(-1);
+                    assertThat(next.isConnected()).isTrue();
+                }
+            }
+            assertThat(ping(asks)).isEqualTo(7);
+        }
+    }
+
     @Test void anOwedMailGoesAgainAfterARestart() throws Exception {
         owe("a1", true, null);
         owe("a2", false, null);
