--- a/src/main/java/wrenreach/net/CallCodec.java
+++ b/src/main/java/wrenreach/net/CallCodec.java
@@ -15,6 +15,7 @@
 /** The form of a call on the wire. */
 final class CallCodec {
     private static final long LONGEST_WAIT_MS = 86_400_000;
+    private static final double MOST = 1e6;
 
     private final List<String> reportNames;
 
@@ -77,6 +78,7 @@
         } catch (NumberFormatException e) {
             return new double[0];
         }
-        return Arrays.stream(report).allMatch(Double::isFinite) ? report : new double[0];
+        // Guards the decisions against spoilt figures: rates and shares are not negative, and no rate is that high.
+        return Arrays.stream(report).allMatch(figure -> figure >= 0 && figure <= MOST) ? report : new double[0];
     }
 }
--- a/src/test/java/wrenreach/net/CodecTest.java
+++ b/src/test/java/wrenreach/net/CodecTest.java
@@ -169,6 +169,9 @@
         assertThat(answer(200, "X-Load-Report", "x1=25, x0=0.4,x9=1").report()).containsExactly(0.4, 25);
         assertThat(answer(200, "X-Load-Report", "x0=0.4").report()).isEmpty();
         assertThat(answer(200, "X-Load-Report", "x0=a,x1=2").report()).isEmpty();
+        assertThat(answer(200, "X-Load-Report", "x0=0.4,x1=-2").report()).isEmpty();
+        assertThat(answer(200, "X-Load-Report", "x0=0.4,x1=1e300").report()).isEmpty();
+        assertThat(answer(200, "X-Load-Report", "x0=NaN,x1=2").report()).isEmpty();
         assertThat(answer(200).report()).isEmpty();
     }
 
--- a/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -195,6 +195,17 @@
         }
     }
 
+    /** Guards the turn against hundreds of commands at once: the rest is not read. */
+    @Test void whoAsksTooMuchAtOnceIsTurnedAwayAfterItsAnswers() throws Exception {
+        InetSocketAddress at = start();
+        try (Socket client = new Socket(at.getAddress(), at.getPort())) {
+            client.setSoTimeout(20_000);
+            client.getOutputStream().write("PING\r\n".repeat(150).getBytes(StandardCharsets.US_ASCII));
+            assertThat(new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .isEqualTo("+PONG\r\n".repeat(64) + "-ERR too many requests at once\r\n");
+        }
+    }
+
     /** Guards clients that ask: a crowd that says nothing is closed before them, however lately it came. */
     @Test void aSilentCrowdDoesNotPushOutThoseThatAsk() throws Exception {
         descriptors = 55;
