--- a/src/main/java/wrenreach/net/Door.java
+++ b/src/main/java/wrenreach/net/Door.java
@@ -127,19 +127,14 @@
 
     /** Guards descriptors against clients that say nothing, half a request, or stay when they have what they want. */
     private void closeOverdue() {
-        long now = System.nanoTime();
-        for (Client client : new ArrayList<>(silent)) {
-            if (client.since < now - TimeUnit.MILLISECONDS.toNanos(REQUEST_MS)) {
-                client.giveUp();
-            }
-        }
+        long asksBy = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(REQUEST_MS);
+        long idleSince = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(IDLE_MS);
+        new ArrayList<>(silent).stream().filter(c -> c.since < asksBy).forEach(Client::giveUp);
         for (Client client : new ArrayList<>(clients)) {
-            if (client.guard.midway()) {
-                if (client.guard.begun() < now - TimeUnit.MILLISECONDS.toNanos(REQUEST_MS)) {
-                    client.giveUp();
-                }
-            } else if (client.since < now - TimeUnit.MILLISECONDS.toNanos(IDLE_MS)) {
-                client.closeIfIdle();
+            if (client.guard.midway() && client.guard.begun() < asksBy) {
+                client.giveUp();
+            } else if (!client.guard.midway() && client.since < idleSince) {
+                client.retire();
             }
         }
     }
@@ -165,7 +160,7 @@
         if (among.size() > most) {
             Iterator<Client> oldest = new ArrayList<>(among).iterator();
             while (among.size() > most && oldest.hasNext()) {
-                oldest.next().closeIfIdle();
+                oldest.next().retire();
             }
         }
     }
@@ -177,6 +172,7 @@
         /** When it connected, or its last request was there or answered; by System.nanoTime. */
         private long since = System.nanoTime();
         private boolean closed;
+        private boolean retiring;
 
         @Override public void channelActive(ChannelHandlerContext context) {
             ctx = context;
@@ -194,6 +190,7 @@
                 guard.stop();
             }
             since = System.nanoTime();
+            retiring = false;
             silent.remove(this);
             clients.remove(this);
             clients.add(this);
@@ -229,8 +226,28 @@
             if (guard.midway() && open.isEmpty()) {
                 ctx.writeAndFlush(new Reply.Error("request took too long", true));
                 guard.whole();
+                closeIfIdle();
+            } else {
+                retire();
             }
-            closeIfIdle();
+        }
+
+        /**
+         * Closes it unless a request has come by now: what is scheduled runs after one more look at the sockets. Guards
+         * requests that wait unread while the node is short of its core; answered by a close, they are lost.
+         */
+        private void retire() {
+            retiring = true;
+            boolean asked = clients.remove(this);
+            silent.remove(this);
+            ctx.executor().schedule(() -> {
+                if (retiring && !closed && guard.midway()) {
+                    (asked ? clients : silent).add(this);
+                } else if (retiring) {
+                    closeIfIdle();
+                }
+                retiring = false;
+            }, 0, TimeUnit.NANOSECONDS);
         }
 
         private void closeIfIdle() {
--- a/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -126,9 +126,8 @@
         owedNothing();
     }
 
-    /** Guards against delivering for a client that gave up: it hands the mail in again under a new id. */
-    @Test void aMailWhoseClientHasClosedIsNotTakenOn() throws Exception {
-        InetSocketAddress at = start();
+    /** Has the node stand still until the latch is counted down. */
+    private CountDownLatch standStill() throws InterruptedException {
         CountDownLatch standing = new CountDownLatch(1);
         CountDownLatch goesOn = new CountDownLatch(1);
         node.loop().execute(() -> {
@@ -140,6 +139,32 @@
             }
         });
         standing.await();
+        return goesOn;
+    }
+
+    /** Guards requests that wait unread while the node is short of its core: none is answered by a close. */
+    @Test void aClientIsNotClosedForRoomWhileItsRequestWaitsUnread() throws Exception {
+        descriptors = 55;
+        InetSocketAddress at = start();
+        try (Socket first = new Socket(at.getAddress(), at.getPort())) {
+            assertThat(ping(first)).isEqualTo(7);
+            try (Socket second = new Socket(at.getAddress(), at.getPort())) {
+                assertThat(ping(second)).isEqualTo(7);
+                CountDownLatch goesOn = standStill();
+                try (Socket third = new Socket(at.getAddress(), at.getPort())) {
+                    first.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
+                    goesOn.countDown();
+                    assertThat(first.getInputStream().readNBytes(7)).hasSize(7);
+                    assertThat(third.isConnected()).isTrue();
+                }
+            }
+        }
+    }
+
+    /** Guards against delivering for a client that gave up: it hands the mail in again under a new id. */
+    @Test void aMailWhoseClientHasClosedIsNotTakenOn() throws Exception {
+        InetSocketAddress at = start();
+        CountDownLatch goesOn = standStill();
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.getOutputStream().write(enqueue("a1", "c=order,t=shop,d=9000,dest=1").getBytes());
         }
