--- a/src/main/java/wrenreach/net/Door.java
+++ b/src/main/java/wrenreach/net/Door.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -29,7 +30,7 @@
 /** Where clients hand in mails. Replies wait for the end of the turn and go out in the order of the requests. */
 public final class Door {
     public static final int BODY_LIMIT = 64 * 1024;
-    private static final int LINE_LIMIT = 1024, READ_LIMIT = 16 * 1024, READS = 16;
+    private static final int LINE_LIMIT = 1024, READ_LIMIT = 16 * 1024, READS = 16, ACCEPTS = 32;
     /** What one client's unfinished request may take. */
     public static final int CLIENT_BYTES = BODY_LIMIT + READ_LIMIT;
     /** A request is whole so soon after its connection or its first byte; a client may stand idle for so long. */
@@ -89,6 +90,9 @@
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
+                // Guards clients behind a crowd that connects at once: a few looks take in all of them.
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
                 .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Guards memory: what is read of an unfinished request is kept in the buffers it came in. Reads
--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -52,6 +52,8 @@
     private static final int OWN_DESCRIPTORS = 32, IDLE_A_SLOT = 8;
     /** One part in so many of the memory is for requests that come in. */
     private static final int CLIENTS_PART = 3;
+    /** A client waits for its answer so long; a request that has waited longer is not its own any more. */
+    private static final long PATIENCE = 400_000;
     /** How long one line on refusals for disk stands for those that follow. */
     private static final long QUIET = 10_000_000;
 
@@ -77,6 +79,9 @@
     private Phase phase = Phase.STARTING;
     private boolean turning;
     private long now;
+    private long before;
+    /** What this turn reads has come since then: the turn before the last one, as a new client is accepted in one first. */
+    private long waitingSince;
     private long wallAhead;
     private long quietUntil;
     private long endpointsSeen;
@@ -192,6 +197,8 @@
     @Override public long turn() {
         if (!turning) {
             turning = true;
+            waitingSince = before;
+            before = now;
             now = clock.now();
             wallAhead = clock.wall() - now;
             loop.execute(this::endTurn);
@@ -315,7 +322,9 @@
             asked.answer(new Reply.Busy(0));
             return;
         }
-        HeldMail mail = new HeldMail(s, now + wallAhead + 1000 * handIn.lifetimeMs());
+        // Guards ends in time while the node is short of its core: the client has counted since it sent the request.
+        long waited = Math.min(PATIENCE, now - waitingSince);
+        HeldMail mail = new HeldMail(s, now + wallAhead + 1000 * handIn.lifetimeMs() - waited);
         Mail admitted = held.hold(mail, now, wallAhead);
         fresh.put(mail, asked);
         answers.addAll(module.admit(admitted, now));
--- a/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -161,6 +161,24 @@
         }
     }
 
+    /** Guards ends in time: a request's time runs from when it was sent, also while it waits unread. */
+    @Test void theTimeThatARequestWaitedUnreadIsCounted() throws Exception {
+        answer = 503;
+        InetSocketAddress at = start();
+        CountDownLatch goesOn = standStill();
+        long sent = 1000 * System.currentTimeMillis();
+        try (Socket client = new Socket(at.getAddress(), at.getPort())) {
+            client.getOutputStream().write(enqueue("a1", "c=order,t=shop,d=9000,dest=1").getBytes());
+            Thread.sleep(100);
+            goesOn.countDown();
+            client.setSoTimeout(20_000);
+            assertThat(client.getInputStream().read()).isEqualTo('+');
+        }
+        node.stop();
+        node.stopped().get(20, TimeUnit.SECONDS);
+        assertThat(Journal.read(state).get(0).endsBy).isLessThanOrEqualTo(sent + 9_001_000);
+    }
+
     /** Guards against delivering for a client that gave up: it hands the mail in again under a new id. */
     @Test void aMailWhoseClientHasClosedIsNotTakenOn() throws Exception {
         InetSocketAddress at = start();
