--- a/src/main/java/wrenreach/node/Main.java
+++ b/src/main/java/wrenreach/node/Main.java
@@ -26,6 +26,7 @@
             usage: java -jar wrenreach.jar COMMAND [options]
               serve     runs a delivery node: --config FILE (or GW_CONFIG), --state FOLDER (or GW_STATE);
                         with --check it starts, says what is wrong if anything, and stops
+              rehearse  plays a few mails through a node on loopback, for a class-data archive: options as for serve
               held      prints what a state folder owes: --state FOLDER (or GW_STATE)
               wirehost  hosts delivery nodes on the simulator's wire, from standard input to standard output
               version   prints the version
@@ -40,13 +41,17 @@
 
     static int run(String[] args, Map<String, String> environment) {
         String command = args.length == 0 ? "" : args[0];
+        System.getProperties().putIfAbsent("java.util.logging.SimpleFormatter.format",
+                "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         try {
             Options known = new Options();
-            if (command.equals("serve")) {
+            boolean starts = command.equals("serve") || command.equals("rehearse");
+            if (starts) {
                 known.addOption(Option.builder().longOpt("config").hasArg().get());
                 known.addOption(Option.builder().longOpt("check").get());
             }
-            if (command.equals("serve") || command.equals("held")) {
+            if (starts || command.equals("held")) {
                 known.addOption(Option.builder().longOpt("state").hasArg().get());
             }
             CommandLine line = new DefaultParser().parse(known, args);
@@ -57,6 +62,9 @@
                 case "serve":
                     return serve(path(line, "config", environment), path(line, "state", environment),
                             line.hasOption("check"), environment);
+                case "rehearse":
+                    return Rehearsal.run(Config.read(path(line, "config", environment), environment),
+                            path(line, "state", environment));
                 case "held":
                     return held(path(line, "state", environment));
                 case "wirehost":
@@ -75,6 +83,12 @@
             System.err.println("wrenreach: " + e.getMessage());
             System.err.print(USAGE);
             return 2;
+        } catch (Config.Unusable | IOException e) {
+            System.err.println("wrenreach: " + e.getMessage());
+            return 2;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 1;
         }
     }
 
@@ -88,9 +102,6 @@
     }
 
     private static int serve(Path file, Path state, boolean check, Map<String, String> environment) {
-        System.getProperties().putIfAbsent("java.util.logging.SimpleFormatter.format",
-                "%1$tFT%1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         // Before anything else: without a handler the signal ends the process.
         Reload reload = new Reload(file);
         Signal.handle(new Signal("HUP"), signal -> reload.signalled());
--- /dev/null
+++ b/src/main/java/wrenreach/node/Rehearsal.java
@@ -0,0 +1,117 @@
+package wrenreach.node;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import wrenreach.Choice;
+import wrenreach.held.Journal;
+import wrenreach.net.Addresses;
+import wrenreach.net.ListLine;
+
+/**
+ * Plays a few mails through a node on loopback at build time, so that the class-data archive knows what a node uses
+ * in service. Guards the first seconds of a life: loading those classes then held answers up by half a second.
+ */
+final class Rehearsal {
+    private static final int MAILS = 60;
+    private static final long WAIT_S = 5;
+
+    private final AtomicInteger calls = new AtomicInteger();
+    private final AtomicInteger notices = new AtomicInteger();
+    private final HttpServer outside;
+
+    private Rehearsal() throws IOException {
+        outside = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    }
+
+    /** The exit code: 0 where the mails were taken and some relayed and ended by a notice. */
+    static int run(Config config, Path state) throws IOException, InterruptedException {
+        return new Rehearsal().play(config, Files.createDirectories(state));
+    }
+
+    private int play(Config config, Path state) throws IOException, InterruptedException {
+        outside.createContext("/events", exchange -> {
+            int call = calls.getAndIncrement();
+            int[] statuses = {200, 200, 200, 429, 200, 500, 503};
+            exchange.getResponseHeaders().set("Wait-Ms", "20");
+            exchange.getResponseHeaders().set("X-Load-Report", "x0=0.9,x1=500");
+            // In the end it is full for good, so that some mails end by a notice.
+            answer(exchange, call < MAILS ? statuses[call % statuses.length] : 503, "ok");
+        });
+        outside.createContext("/v2/finals", exchange -> {
+            notices.incrementAndGet();
+            exchange.getRequestBody().readAllBytes();
+            exchange.sendResponseHeaders(204, -1);
+            exchange.close();
+        });
+        String address = Addresses.text(outside.getAddress());
+        outside.createContext("/api/targets", exchange -> {
+            // A watch stays open.
+            exchange.sendResponseHeaders(200, 0);
+            exchange.getResponseBody().write(("{\"index\":1,\"snapshot\":true,\"endpoints\":[{\"name\":\"receiver-1\","
+                    + "\"address\":\"" + address + "\",\"group\":1,\"status\":\"SERVING\",\"weight\":500}]}\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            exchange.getResponseBody().flush();
+        });
+        outside.start();
+        DeliveryNode node = new DeliveryNode(new Config(config.name(), config.listen(), outside.getAddress(),
+                config.descriptors(), config.memoryBytes(), config.diskBytes(),
+                new ListLine(0, true, List.of(new ListLine.Entry("receiver-1", address, "", "", 1, "SERVING", 500))),
+                config.settings(), config.queueClasses(), config.tenants(), config.kinds(), config.zones(),
+                config.reportNames()), Journal.open(state, config.diskBytes()), Choice::new);
+        node.start();
+        try {
+            InetSocketAddress door = node.serving().get(WAIT_S, TimeUnit.SECONDS);
+            int taken = 0;
+            for (int i = 0; i < MAILS; i++) {
+                taken += ask(door, "m" + i, config, 2500).startsWith("+OK") ? 1 : 0;
+            }
+            ask(door, "", config, 1);
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+            while ((calls.get() < MAILS || notices.get() == 0) && System.nanoTime() < until) {
+                Thread.sleep(10);
+            }
+            node.stop();
+            int code = node.stopped().get(WAIT_S, TimeUnit.SECONDS);
+            System.out.println(taken + " mails taken, " + calls.get() + " calls, " + notices.get() + " posts of notices");
+            return code == 0 && taken > 0 && calls.get() > 0 && notices.get() > 0 ? 0 : 1;
+        } catch (ExecutionException | TimeoutException e) {
+            System.err.println("wrenreach: rehearsal: " + e);
+            return 1;
+        } finally {
+            outside.stop(0);
+        }
+    }
+
+    private static void answer(HttpExchange exchange, int status, String body) throws IOException {
+        exchange.getRequestBody().readAllBytes();
+        byte[] bytes = body.getBytes(StandardCharsets.US_ASCII);
+        exchange.sendResponseHeaders(status, bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    private static String ask(InetSocketAddress door, String id, Config config, int lifetimeMs) throws IOException {
+        StringBuilder request = new StringBuilder("*5\r\n");
+        for (String word : List.of("ENQUEUE", "k" + id, id, "c=" + config.queueClasses().get(0) + ",t="
+                + config.tenants().get(0) + ",d=" + lifetimeMs + ",k=t" + id + ",dest=1", "body")) {
+            request.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        try (Socket client = new Socket(door.getAddress(), door.getPort())) {
+            client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_S));
+            client.getOutputStream().write(request.toString().getBytes(StandardCharsets.US_ASCII));
+            return new String(client.getInputStream().readNBytes(3), StandardCharsets.US_ASCII);
+        }
+    }
+}
