--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -248,8 +248,7 @@
         for (Route r : d.routes) {
             long opens = r.breaker.phase == Breaker.Phase.OPEN ? r.breaker.restsUntil : now;
             start = Math.min(start, Math.max(0, Math.max(opens, r.heldUntil) - now));
-            // A cold route climbs while the line waits: it counts with the middle of its climb.
-            pace += (r.cold ? limit(r) * part(r, now) * (1 + coldFrom) / 2 : pace(r, now)) * batch(r);
+            pace += pace(r, now) * batch(r);
         }
         return pace <= 0 ? 0 : start + (long) (ahead / pace * SECOND);
     }
