--- a/src/main/java/wrenreach/Choice.java
+++ b/src/main/java/wrenreach/Choice.java
@@ -671,9 +671,8 @@
         }
         c.call.counted = true;
         boolean atCap = outcome instanceof Outcome.Unreached && !c.trial && now - r.relayedAt < target;
-        if (outcome instanceof Outcome.Unreached && r.unreachedAt <= r.relayedAt) {
-            r.unreachedAt = now;
-        }
+        boolean first = outcome instanceof Outcome.Unreached && r.unreachedAt <= r.relayedAt;
+        r.unreachedAt = first ? now : r.unreachedAt;
         r.downSince = r.downSince <= r.relayedAt ? now : r.downSince;
         if (outcome instanceof Outcome.Relayed) {
             relayed(r, c, now);
@@ -683,7 +682,8 @@
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
             pause(r, 0, false, now);
-        } else if (!(outcome instanceof Outcome.NotSent)) {
+        } else if (!(outcome instanceof Outcome.NotSent || outcome instanceof Outcome.Broken && c.kept)) {
+            // A kept connection that breaks tells of itself; a new one would tell of the receiver.
             failed(r, c, outcome, now);
         }
     }
@@ -984,7 +984,7 @@
         e.to.endpoints.add(e);
     }
 
-    /** Guards memory, and the places of those that stay, against endpoints gone for good: new ones come all day. */
+    /** Guards memory, and the places of those that stay, against endpoints gone for good. */
     private static void leave(Endpoint e) {
         e.ready = false;
         if (e.to.endpoints.remove(e)) {
--- a/src/main/java/wrenreach/net/Calls.java
+++ b/src/main/java/wrenreach/net/Calls.java
@@ -148,6 +148,7 @@
         if (link != null) {
             idle.remove(link);
             link.stopIdling();
+            connect.kept = true;
             carry(link, call);
         } else if (pool == null || pool.address == null) {
             loop.execute(() -> end(call, new Outcome.Unreached()));
--- a/src/main/java/wrenreach/state/Connect.java
+++ b/src/main/java/wrenreach/state/Connect.java
@@ -11,6 +11,8 @@
     public boolean trial;
     public boolean open = true;
     public boolean neverRan;
+    /** Whether it went out on a connection that had served others before. */
+    public boolean kept;
 
     public Connect(Mail mail, Endpoint endpoint, long sentAt, long cutAt, Call call) {
         this.mail = mail;
--- a/src/test/java/wrenreach/ChoiceTest.java
+++ b/src/test/java/wrenreach/ChoiceTest.java
@@ -612,6 +612,27 @@
         assertThat(s.ever(Answer.FollowList.class)).hasSize(2);
     }
 
+    /** Guards receivers whose machines drop kept connections: such a break is no failure of theirs, and no pause. */
+    @Test void aKeptConnectionThatBreaksIsNoFailureOfTheReceiver() {
+        Setup one = new Setup();
+        Endpoint at = one.endpoint(1, 0);
+        int broken = 0;
+        for (int i = 0; i < 12; i++) {
+            one.mail(null);
+            for (Connect c : one.turn(500)) {
+                c.kept = true;
+                one.end(c, new Outcome.Broken());
+                broken++;
+            }
+            assertThat(at.route.heldUntil).isLessThanOrEqualTo(one.now);
+        }
+        assertThat(broken).isGreaterThan(8);
+        assertThat(at.route.breaker.phase).isEqualTo(Breaker.Phase.CLOSED);
+        assertThat(at.route.cold).isFalse();
+        assertThat(one.fail(8, new Outcome.Broken())).isPositive();
+        assertThat(at.route.breaker.phase).isNotEqualTo(Breaker.Phase.CLOSED);
+    }
+
     /** Guards memory and places: what is gone, named so or left out of a whole list, counts no more. */
     @Test void endpointsThatAreGoneAreForgotten() {
         Setup one = new Setup();
--- a/src/test/java/wrenreach/net/CallsTest.java
+++ b/src/test/java/wrenreach/net/CallsTest.java
@@ -122,7 +122,7 @@
                 hear(socket);
                 answer(socket, "HTTP/1.1 200 OK");
                 assertThat(outcome()).isEqualTo(new Outcome.Relayed());
-                send(30 * SECOND);
+                assertThat(send(30 * SECOND).kept).isTrue();
             }
         }
     }
