--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/src/main/java/wrenreach/node/DeliveryNode.java
@@ -54,6 +54,8 @@
     private static final int CLIENTS_PART = 3;
     /** A client waits for its answer so long; a request that has waited longer is not its own any more. */
     private static final long PATIENCE = 400_000;
+    /** A node that was behind is taken to be so for this many times as long. */
+    private static final int RECOVERS = 8;
     /** How long one line on refusals for disk stands for those that follow. */
     private static final long QUIET = 10_000_000;
 
@@ -79,9 +81,8 @@
     private Phase phase = Phase.STARTING;
     private boolean turning;
     private long now;
-    private long before;
-    /** What this turn reads has come since then: the turn before the last one, as a new client is accepted in one first. */
-    private long waitingSince;
+    /** The longest time between two turns of late: so long a request may wait to be accepted, and again to be read. */
+    private long behind = PATIENCE;
     private long wallAhead;
     private long quietUntil;
     private long endpointsSeen;
@@ -197,9 +198,9 @@
     @Override public long turn() {
         if (!turning) {
             turning = true;
-            waitingSince = before;
-            before = now;
-            now = clock.now();
+            long gap = clock.now() - now;
+            now += gap;
+            behind = Math.max(gap, behind - gap / RECOVERS);
             wallAhead = clock.wall() - now;
             loop.execute(this::endTurn);
         }
@@ -323,7 +324,7 @@
             return;
         }
         // Guards ends in time while the node is short of its core: the client has counted since it sent the request.
-        long waited = Math.min(PATIENCE, now - waitingSince);
+        long waited = Math.min(PATIENCE, 2 * behind);
         HeldMail mail = new HeldMail(s, now + wallAhead + 1000 * handIn.lifetimeMs() - waited);
         Mail admitted = held.hold(mail, now, wallAhead);
         fresh.put(mail, asked);
