A Maven reactor of six modules; bin/wrenreach starts any command

One jar held all packages, and the node and the simulator's host depended on each other's package (held.Directory, wire.SettingsText).

Moved with git mv, package names kept: decisions (Choice, api, state) depends on nothing, then wire, operator, node, lists, app. Directory now stands beside the objects it names (state), SettingsText beside Settings (api): no module depends on the simulator's wire but app. The command line is wrenreach.app.Main. The jar stays target/wrenreach.jar, the README's two commands stay. Operator and lists are still empty.

--- a/src/main/java/wrenreach/node/Main.java
+++ b/app/src/main/java/wrenreach/app/Main.java
@@ -1,4 +1,4 @@
-package wrenreach.node;
+package wrenreach.app;
 
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
@@ -18,6 +18,9 @@
 import wrenreach.Choice;
 import wrenreach.held.HeldMail;
 import wrenreach.held.Journal;
+import wrenreach.node.Config;
+import wrenreach.node.DeliveryNode;
+import wrenreach.node.Reload;
 import wrenreach.wirehost.WireHost;
 
 /** The command line. */
--- a/src/main/java/wrenreach/node/Rehearsal.java
+++ b/app/src/main/java/wrenreach/app/Rehearsal.java
@@ -1,4 +1,4 @@
-package wrenreach.node;
+package wrenreach.app;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -18,6 +18,8 @@
 import wrenreach.held.Journal;
 import wrenreach.net.Addresses;
 import wrenreach.net.ListLine;
+import wrenreach.node.Config;
+import wrenreach.node.DeliveryNode;
 
 /**
  * Plays a few mails through a node on loopback at build time, so that the class-data archive knows what a node uses
--- a/src/test/java/wrenreach/node/RehearsalTest.java
+++ b/app/src/test/java/wrenreach/app/RehearsalTest.java
@@ -1,4 +1,4 @@
-package wrenreach.node;
+package wrenreach.app;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import wrenreach.held.Journal;
+import wrenreach.node.Config;
 
 class RehearsalTest {
     @TempDir Path state;
--- a/src/main/java/wrenreach/wire/SettingsText.java
+++ b/decisions/src/main/java/wrenreach/api/SettingsText.java
@@ -1,11 +1,10 @@
-package wrenreach.wire;
+package wrenreach.api;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import wrenreach.api.Settings;
 
 /** Reads the settings that the wire hands over as lines of path=value. */
 public final class SettingsText {
@@ -126,11 +125,15 @@
     }
 
     private long time(String path) {
-        return FrameReader.micros(parse(path, required(path)));
+        return micros(parse(path, required(path)));
     }
 
     private long time(String path, long otherwise) {
-        return word(path).isEmpty() ? otherwise : FrameReader.micros(parse(path, word(path)));
+        return word(path).isEmpty() ? otherwise : micros(parse(path, word(path)));
+    }
+
+    private static long micros(double seconds) {
+        return Math.round(seconds * 1_000_000);
     }
 
     private boolean flag(String path) {
--- a/src/main/java/wrenreach/held/Directory.java
+++ b/decisions/src/main/java/wrenreach/state/Directory.java
@@ -1,11 +1,8 @@
-package wrenreach.held;
+package wrenreach.state;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Supplier;
-import wrenreach.state.Destination;
-import wrenreach.state.Endpoint;
-import wrenreach.state.OrderKey;
 
 /** The objects that ids at the door stand for; I is the kind of id of endpoints and order keys. */
 public final class Directory<I> {
--- a/src/test/java/wrenreach/held/DirectoryTest.java
+++ b/decisions/src/test/java/wrenreach/state/DirectoryTest.java
@@ -1,9 +1,8 @@
-package wrenreach.held;
+package wrenreach.state;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
-import wrenreach.state.Endpoint;
 
 class DirectoryTest {
     private final Directory<String> directory = new Directory<>();
--- a/src/main/java/wrenreach/held/HeldMails.java
+++ b/node/src/main/java/wrenreach/held/HeldMails.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import wrenreach.api.Settings;
+import wrenreach.state.Directory;
 import wrenreach.state.Call;
 import wrenreach.state.Connect;
 import wrenreach.state.Endpoint;
--- a/src/main/java/wrenreach/node/Config.java
+++ b/node/src/main/java/wrenreach/node/Config.java
@@ -16,7 +16,7 @@
 import wrenreach.net.Addresses;
 import wrenreach.net.ListLine;
 import wrenreach.net.ListReader;
-import wrenreach.wire.SettingsText;
+import wrenreach.api.SettingsText;
 
 /** What a delivery node is told at its start. The names stand in the order of the settings' numbers. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int descriptors,
@@ -47,7 +47,7 @@
         }
     }
 
-    static Config parse(byte[] json, Map<String, String> environment) throws IOException {
+    public static Config parse(byte[] json, Map<String, String> environment) throws IOException {
         Map<String, String> flat = new LinkedHashMap<>();
         ListLine known = new ListLine(0, true, List.of());
         try (JsonParser in = new JsonFactory().createParser(json)) {
--- a/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -21,7 +21,7 @@
 import wrenreach.api.Listing;
 import wrenreach.api.Outcome;
 import wrenreach.api.Settings;
-import wrenreach.held.Directory;
+import wrenreach.state.Directory;
 import wrenreach.held.Ending;
 import wrenreach.held.HeldMail;
 import wrenreach.held.HeldMails;
@@ -46,7 +46,7 @@
  * brought, asks the module, writes one batch of records to the journal and only then lets bytes go out:
  * clients' answers first, then calls and notices.
  */
-final class DeliveryNode implements Door.Host, Calls.Host, Discovery.Host, PlannedStop.Host {
+public final class DeliveryNode implements Door.Host, Calls.Host, Discovery.Host, PlannedStop.Host {
     private static final System.Logger LOG = System.getLogger(DeliveryNode.class.getName());
     /** Descriptors kept for files, the loop, discovery and notices; connections that may idle, a slot. */
     private static final int OWN_DESCRIPTORS = 32, IDLE_A_SLOT = 8;
@@ -89,7 +89,7 @@
     private boolean doorOpen;
     private boolean sending = true;
 
-    DeliveryNode(Config config, Journal journal, Function<Settings, Dispatcher> module) {
+    public DeliveryNode(Config config, Journal journal, Function<Settings, Dispatcher> module) {
         this.config = config;
         this.journal = journal;
         settings = config.settings();
@@ -106,17 +106,17 @@
         discovery = new Discovery(loop, this, config.discovery(), config.known().index(), !settings.listOnRequest());
     }
 
-    void start() {
+    public void start() {
         loop.execute(this::recover);
     }
 
     /** The exit code, once the node has stopped. */
-    CompletableFuture<Integer> stopped() {
+    public CompletableFuture<Integer> stopped() {
         return stopped;
     }
 
     /** Where the node listens, once it serves. */
-    CompletableFuture<InetSocketAddress> serving() {
+    public CompletableFuture<InetSocketAddress> serving() {
         return serving;
     }
 
@@ -126,14 +126,14 @@
     }
 
     /** Begins a planned stop; safe from any thread. */
-    void stop() {
+    public void stop() {
         if (!group.isShuttingDown()) {
             loop.execute(this::drain);
         }
     }
 
     /** Discovery and the platform are to be had at this address from now on; safe from any thread. */
-    void discoverAt(InetSocketAddress address) {
+    public void discoverAt(InetSocketAddress address) {
         if (!group.isShuttingDown()) {
             loop.execute(() -> {
                 discovery.move(address);
--- a/src/main/java/wrenreach/node/Reload.java
+++ b/node/src/main/java/wrenreach/node/Reload.java
@@ -11,19 +11,19 @@
  * What a node does on SIGHUP: the config is read again and its discovery address holds from then on. All else in it
  * needs a restart. A file that can't be used changes nothing.
  */
-final class Reload {
+public final class Reload {
     private static final System.Logger LOG = System.getLogger(Reload.class.getName());
 
     private final Path file;
     private Consumer<InetSocketAddress> moved;
     private boolean early;
 
-    Reload(Path file) {
+    public Reload(Path file) {
         this.file = file;
     }
 
     /** Who is told of the address from now on. Guards a signal that came before there was a node to tell. */
-    synchronized void tell(Consumer<InetSocketAddress> host) {
+    public synchronized void tell(Consumer<InetSocketAddress> host) {
         moved = host;
         if (early) {
             signalled();
@@ -34,7 +34,7 @@
      * One signal, on a thread of its own: reading blocks, which the node's loop must not. Synchronized, as several
      * signals in a row may each have a thread: the last to read is the last to tell.
      */
-    synchronized void signalled() {
+    public synchronized void signalled() {
         if (moved == null) {
             early = true;
             return;
--- a/src/main/java/wrenreach/wirehost/Node.java
+++ b/wire/src/main/java/wrenreach/wirehost/Node.java
@@ -8,7 +8,7 @@
 import wrenreach.api.Dispatcher;
 import wrenreach.api.Listing;
 import wrenreach.api.Outcome;
-import wrenreach.held.Directory;
+import wrenreach.state.Directory;
 import wrenreach.state.Connect;
 import wrenreach.state.Destination;
 import wrenreach.state.Endpoint;
--- a/src/main/java/wrenreach/wirehost/WireHost.java
+++ b/wire/src/main/java/wrenreach/wirehost/WireHost.java
@@ -18,7 +18,7 @@
 import wrenreach.wire.Event;
 import wrenreach.wire.FrameReader;
 import wrenreach.wire.ReplyWriter;
-import wrenreach.wire.SettingsText;
+import wrenreach.api.SettingsText;
 import wrenreach.wire.WireException;
 
 /** Hosts many delivery nodes on the wire. */
