--- a/app/src/main/java/wrenreach/app/Main.java
+++ b/app/src/main/java/wrenreach/app/Main.java
@@ -40,8 +40,16 @@
 
     private Main() { }
 
-    public static void main(String[] args) {
-        System.exit(run(args, System.getenv()));
+    /** Whether a command line asks for more than the jar holds: an operator's file, or a command of a subsystem. */
+    static boolean needsParts(String[] args, Map<String, String> environment) {
+        return args.length > 0 && (!OWN.contains(args[0]) || args[0].equals("help")
+                || args[0].equals("serve") && (!environment.getOrDefault("WRENREACH_OPERATOR", "").isEmpty()
+                || List.of(args).stream().anyMatch(word -> word.startsWith("--operator"))));
+    }
+
+    /** Runs a command line with the process's environment; the exit code. */
+    public static int run(String[] args) {
+        return run(args, System.getenv());
     }
 
     static int run(String[] args, Map<String, String> environment) {
--- a/app/src/main/java/wrenreach/app/Parts.java
+++ b/app/src/main/java/wrenreach/app/Parts.java
@@ -14,7 +14,7 @@
     /** The subsystems of the jar, in the order of their names. */
     static List<Subsystem<?>> subsystems() {
         List<Subsystem<?>> all = new ArrayList<>();
-        ServiceLoader.load(Subsystem.class).forEach(all::add);
+        ServiceLoader.load(Subsystem.class, Parts.class.getClassLoader()).forEach(all::add);
         all.sort((a, b) -> a.section().name().compareTo(b.section().name()));
         return all;
     }
--- a/log/src/main/java/wrenreach/log/JsonLog.java
+++ b/log/src/main/java/wrenreach/log/JsonLog.java
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.IThrowableProxy;
 import ch.qos.logback.classic.spi.ThrowableProxyUtil;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.LayoutBase;
 import ch.qos.logback.core.OutputStreamAppender;
 import ch.qos.logback.core.encoder.LayoutWrappingEncoder;
@@ -63,6 +64,7 @@
         encoder.setContext(context);
         written.setContext(context);
         queue.setContext(context);
+        context.setMDCAdapter(new LogbackMDCAdapter());
         context.start();
         lines.start();
         encoder.start();
