--- /dev/null
+++ b/lists/src/main/java/wrenreach/lists/ListsCommand.java
@@ -0,0 +1,109 @@
+package wrenreach.lists;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import wrenreach.frame.Command;
+import wrenreach.net.ListLine;
+
+/** wrenreach lists check|make|status. */
+final class ListsCommand implements Command {
+    private static final ListFiles.Bounds BOUNDS = new ListFiles.Bounds(1L << 30, 1_000_000, 65_536);
+    private static final String LABEL = "--label=", CONFIRM = "--confirm";
+
+    @Override public String name() {
+        return "lists";
+    }
+
+    @Override public List<String> usage() {
+        return List.of("lists check MANIFEST   reads a list as a node would, and says what it holds or what is wrong",
+                "lists make MANIFEST PART... [--label=TEXT] [--confirm]   writes the manifest of parts that lie beside it",
+                "lists status FOLDER    what the node that keeps its lists there says: in force, held back, faulty");
+    }
+
+    @Override public int run(List<String> words, PrintStream out, PrintStream err) {
+        try {
+            if (words.size() == 2 && words.get(0).equals("check")) {
+                check(Path.of(words.get(1)), out);
+                return 0;
+            } else if (words.size() >= 3 && words.get(0).equals("make")) {
+                make(Path.of(words.get(1)), words.subList(2, words.size()), out);
+                return 0;
+            } else if (words.size() == 2 && words.get(0).equals("status")) {
+                return status(Path.of(words.get(1)), out);
+            }
+            usage().forEach(line -> err.println("usage: wrenreach " + line));
+        } catch (ListFault e) {
+            err.println(e.getMessage());
+        } catch (IOException e) {
+            err.println("wrenreach: " + e);
+        }
+        return 2;
+    }
+
+    private static void check(Path file, PrintStream out) throws ListFault {
+        ListFiles.Found found = ListFiles.find(file);
+        ListFiles.Manifest manifest = ListFiles.manifest(found.real(), found.bytes());
+        Generation list = ListFiles.read(found, manifest, BOUNDS);
+        Map<String, Integer> zones = new TreeMap<>();
+        Map<String, Integer> serving = new TreeMap<>();
+        for (ListLine.Entry entry : list.endpoints().values()) {
+            zones.merge(entry.zone(), 1, Integer::sum);
+            serving.merge(entry.zone(), Generation.serves(entry) ? 1 : 0, Integer::sum);
+        }
+        out.printf("%s \"%s\": %d endpoints of %d destinations in %d parts%s%n", list.print(), list.label(),
+                list.endpoints().size(), list.serving().size(), manifest.parts().size(),
+                manifest.confirm().isEmpty() ? "" : manifest.confirm().equals(list.print()) ? ", confirmed"
+                        : ", confirms another list: " + manifest.confirm());
+        zones.forEach((zone, count) -> out.printf("  zone %-12s %d endpoints, %d of them serving%n",
+                zone.isEmpty() ? "\"\"" : zone, count, serving.get(zone)));
+    }
+
+    private static void make(Path file, List<String> words, PrintStream out) throws IOException, ListFault {
+        String label = Instant.now().toString();
+        boolean confirm = false;
+        List<ListFiles.Part> parts = new ArrayList<>();
+        for (String word : words) {
+            if (word.startsWith(LABEL)) {
+                label = word.substring(LABEL.length());
+            } else if (word.equals(CONFIRM)) {
+                confirm = true;
+            } else {
+                parts.add(new ListFiles.Part(word, ListFiles.sum(Files.readAllBytes(file.resolveSibling(word)))));
+            }
+        }
+        ListFiles.Manifest manifest = new ListFiles.Manifest(label, "", parts);
+        manifest = new ListFiles.Manifest(label, confirm ? manifest.print() : "", parts);
+        byte[] bytes = ListFiles.write(manifest);
+        // Nothing is put in place that a node would not read.
+        Generation list = ListFiles.read(new ListFiles.Found(file.toAbsolutePath(), bytes),
+                ListFiles.manifest(file, bytes), BOUNDS);
+        ListFiles.replace(file, bytes);
+        out.printf("%s: %s \"%s\", %d endpoints%n", file, list.print(), list.label(), list.endpoints().size());
+    }
+
+    private static int status(Path folder, PrintStream out) throws IOException {
+        Status s = Status.read(folder);
+        if (s.print().isEmpty()) {
+            out.println("in force: no list yet");
+        } else {
+            out.printf("in force: %s \"%s\", %d endpoints, since %s%n", s.print(), s.label(), s.endpoints(),
+                    Instant.ofEpochMilli(s.since()));
+        }
+        if (!s.heldPrint().isEmpty()) {
+            out.printf("held back: %s \"%s\" since %s, until the manifest says \"confirm\": \"%s\"%n", s.heldPrint(),
+                    s.heldLabel(), Instant.ofEpochMilli(s.heldSince()), s.heldPrint());
+            s.reasons().forEach(reason -> out.println("  " + reason));
+        }
+        if (!s.fault().isEmpty()) {
+            out.printf("can't be read since %s: %s%n", Instant.ofEpochMilli(s.faultSince()), s.fault());
+        }
+        return s.quiet() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/lists/src/main/java/wrenreach/lists/ListsSubsystem.java
@@ -0,0 +1,23 @@
+package wrenreach.lists;
+
+import java.util.List;
+import wrenreach.frame.Command;
+import wrenreach.frame.Host;
+import wrenreach.frame.Running;
+import wrenreach.frame.Subsystem;
+import wrenreach.operator.Section;
+
+/** Describes the lists from watched files to the frame. */
+public final class ListsSubsystem implements Subsystem<ListsSection> {
+    @Override public Section<ListsSection> section() {
+        return ListsSection.SECTION;
+    }
+
+    @Override public Running<ListsSection> start(ListsSection section, Host host) throws CantStart {
+        return new WatchedLists(section, host);
+    }
+
+    @Override public List<Command> commands() {
+        return List.of(new ListsCommand());
+    }
+}
--- /dev/null
+++ b/lists/src/main/java/wrenreach/lists/WatchedLists.java
@@ -0,0 +1,220 @@
+package wrenreach.lists;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicReference;
+import wrenreach.frame.Host;
+import wrenreach.frame.ListGate;
+import wrenreach.frame.Running;
+import wrenreach.frame.Subsystem;
+import wrenreach.log.LogEvent;
+import wrenreach.net.ListLine;
+import wrenreach.watch.FileWatch;
+
+/**
+ * Lists of endpoints from watched files, in a node. A thread of its own reads, has the guard judge and keeps what is in
+ * force; the loop is only told of whole lists, and the roster there turns each into what the module hears.
+ */
+final class WatchedLists implements Running<ListsSection>, FileWatch.Look, ListGate {
+    private static final System.Logger LOG = System.getLogger(WatchedLists.class.getName());
+    static final String KEPT = "in-force.jsonl";
+    /** How long one line on a fault stands for those that follow, in microseconds. */
+    private static final long QUIET = 10_000_000;
+
+    private final Host host;
+    private final AtomicReference<ListsSection> section;
+    private final Path kept;
+    private final FileWatch watch;
+    // The loop's.
+    private final Roster roster;
+    private long dueAt = Long.MAX_VALUE;
+    // The watching thread's.
+    private final ListGuard guard;
+    private Status status = Status.none();
+    private byte[] settled = new byte[0];
+    private ListFault fault;
+    private String faultTold = "";
+    private long quietUntil = Long.MIN_VALUE;
+
+    WatchedLists(ListsSection section, Host host) throws Subsystem.CantStart {
+        this.section = new AtomicReference<>(section);
+        this.host = host;
+        kept = section.kept();
+        try {
+            Files.createDirectories(kept);
+        } catch (IOException e) {
+            throw new Subsystem.CantStart("the folder kept = " + kept + " can't be used: " + e);
+        }
+        guard = new ListGuard(section.limits(), earlier(section));
+        look();
+        if (fault != null) {
+            tellFault(fault.getMessage());
+        }
+        roster = new Roster(section.scope().equals("all"), section.drain(), guard.inForce());
+        watch = new FileWatch("wrenreach-lists", () -> List.of(section.manifest()), section.look(), section.patience(),
+                this);
+    }
+
+    /** The list that an earlier process went by. */
+    private Generation earlier(ListsSection from) throws Subsystem.CantStart {
+        Path file = kept.resolve(KEPT);
+        if (!Files.exists(file)) {
+            return null;
+        }
+        try {
+            Generation list = ListFiles.reread(file, from.bounds());
+            status = status.inForce(list, System.currentTimeMillis());
+            return list;
+        } catch (ListFault e) {
+            // A guess at which endpoints there are would be worse than not to start.
+            throw new Subsystem.CantStart("the list kept can't be read, remove it to start without: " + e.getMessage());
+        }
+    }
+
+    // ---- On the loop ----
+
+    @Override public void serving() {
+        watch.start();
+    }
+
+    @Override public void stopped() {
+        watch.close();
+    }
+
+    @Override public void reloaded(ListsSection newer) {
+        section.set(newer);
+        roster.drainFor(newer.drain());
+    }
+
+    @Override public Optional<ListGate> listGate() {
+        return Optional.of(this);
+    }
+
+    @Override public ListLine discovered(ListLine line, long now) {
+        ListLine changes = roster.discovered(line, now);
+        drainLater(now);
+        return changes;
+    }
+
+    private void take(Generation list) {
+        long now = host.now();
+        ListLine changes = roster.accepted(list, now);
+        host.listed(changes);
+        drainLater(now);
+    }
+
+    /** Has what is drained go when its time is up. */
+    private void drainLater(long now) {
+        long at = roster.dueAt();
+        if (at < dueAt) {
+            dueAt = at;
+            host.later(() -> {
+                dueAt = Long.MAX_VALUE;
+                long then = host.now();
+                ListLine gone = roster.due(then);
+                if (!gone.entries().isEmpty()) {
+                    host.listed(gone);
+                }
+                drainLater(then);
+            }, Math.max(0, at - now));
+        }
+    }
+
+    // ---- On the watching thread ----
+
+    @Override public boolean look() {
+        ListsSection now = section.get();
+        guard.limit(now.limits());
+        try {
+            ListFiles.Found found = ListFiles.find(now.manifest());
+            if (fault == null && Arrays.equals(found.bytes(), settled)) {
+                return true;
+            }
+            ListFiles.Manifest manifest = ListFiles.manifest(found.real(), found.bytes());
+            Generation inForce = guard.inForce();
+            if (inForce == null || !manifest.print().equals(inForce.print())) {
+                judge(ListFiles.read(found, manifest, now.bounds()), manifest.confirm());
+            } else if (!status.quiet()) {
+                say(status.sound(System.currentTimeMillis()));
+            }
+            settled = found.bytes();
+            if (fault != null && !faultTold.isEmpty()) {
+                LogEvent.tell(LOG, Level.INFO, "lists.readable", "lists: {manifest} can be read again",
+                        "manifest", now.manifest());
+            }
+            fault = null;
+            faultTold = "";
+            return true;
+        } catch (ListFault e) {
+            fault = e;
+            return false;
+        }
+    }
+
+    @Override public void stays() {
+        if (fault != null) {
+            tellFault(fault.getMessage());
+        }
+    }
+
+    /** Guards the log against a writer that is at fault again and again: one line a fault, and one in a while. */
+    private void tellFault(String what) {
+        long now = host.now();
+        if (!what.equals(faultTold) && now >= quietUntil) {
+            faultTold = what;
+            quietUntil = now + QUIET;
+            LogEvent.tell(LOG, Level.WARNING, "lists.fault", "lists: {fault}; the list in force stays", "fault", what);
+        }
+        say(status.faulty(what, System.currentTimeMillis()));
+    }
+
+    private void judge(Generation list, String confirm) {
+        ListGuard.Verdict verdict = guard.judge(list, confirm, host.now());
+        if (verdict instanceof ListGuard.HeldBack held) {
+            LogEvent.tell(LOG, Level.WARNING, "lists.held", "lists: {print} \"{label}\" is held back until the manifest "
+                    + "confirms {print}: {reasons}", "print", list.print(), "label", list.label(), "reasons",
+                    String.join("; ", held.reasons()));
+            say(status.heldBack(list, held.reasons(), System.currentTimeMillis()));
+        } else if (verdict instanceof ListGuard.Accepted accepted) {
+            if (roster != null) {
+                try {
+                    host.loop().execute(() -> take(list));
+                } catch (RejectedExecutionException e) {
+                    return; // The node has stopped.
+                }
+            }
+            LogEvent.tell(LOG, Level.INFO, "lists.inforce", "lists: {print} \"{label}\" with {endpoints} endpoints is in "
+                    + "force{confirmed}", "print", list.print(), "label", list.label(), "endpoints",
+                    list.endpoints().size(), "confirmed", accepted.confirmed() ? ", as confirmed" : "");
+            keep(list);
+            say(status.inForce(list, System.currentTimeMillis()));
+        }
+    }
+
+    private void keep(Generation list) {
+        try {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            ListFiles.write(bytes, list);
+            ListFiles.replace(kept.resolve(KEPT), bytes.toByteArray());
+        } catch (IOException e) {
+            LogEvent.tell(LOG, Level.WARNING, "lists.kept", "lists: {print} can't be kept for the next start: {why}",
+                    "print", list.print(), "why", e.getMessage());
+        }
+    }
+
+    private void say(Status next) {
+        status = next;
+        try {
+            next.write(kept);
+        } catch (IOException e) {
+            LogEvent.tell(LOG, Level.WARNING, "lists.status", "lists: status can't be written: {why}", "why", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/lists/src/test/java/wrenreach/lists/ListFilesTest.java
@@ -0,0 +1,118 @@
+package wrenreach.lists;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.catchThrowable;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ListFilesTest {
+    private static final ListFiles.Bounds BOUNDS = new ListFiles.Bounds(1 << 20, 5, 3);
+    private static final Path FILE = Path.of("part");
+    private static final String HEAD = "{\"format\":\"wrenreach-list\",\"version\":1}\n";
+    @TempDir Path folder;
+
+    private static Generation part(String text) throws ListFault {
+        ListFiles.Reading reading = new ListFiles.Reading(BOUNDS);
+        reading.part(FILE, text.getBytes(StandardCharsets.UTF_8));
+        return new Generation("", "", reading.endpoints);
+    }
+
+    private static String endpoint(String more) {
+        return "{\"destination\":1,\"name\":\"a\",\"address\":\"127.0.0.1:80\"" + more + "}\n";
+    }
+
+    @Test void aListIsReadAsItWasWritten() throws Exception {
+        Generation list = Lists.list("1/a@n 1/b@s! 2/a@n");
+        Files.createDirectories(folder);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ListFiles.write(out, list);
+        Files.write(folder.resolve("kept"), out.toByteArray());
+        assertThat(ListFiles.reread(folder.resolve("kept"), BOUNDS)).isEqualTo(list);
+        assertThat(part(HEAD + endpoint("") + "{\"end\":1}").endpoints().values()).first().hasToString(
+                "Entry[name=file:1/a, address=127.0.0.1:80, zone=, type=, group=1, status=SERVING, weight=1.0]");
+    }
+
+    /** Guards against half-written files: cut at any byte a part or a manifest is a fault, never a shorter list. */
+    @Test void aFileCutAtAnyByteIsAFault() throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ListFiles.write(out, Lists.list("1/a@n 1/b@s! 2/a@n"));
+        byte[] whole = out.toByteArray();
+        byte[] manifest = ListFiles.write(new ListFiles.Manifest("l", "c", List.of(
+                new ListFiles.Part("a", "0".repeat(64)), new ListFiles.Part("b", "1".repeat(64)))));
+        assertThat(ListFiles.manifest(FILE, manifest).parts()).hasSize(2);
+        for (int cut = 0; cut < whole.length - 1; cut++) {
+            byte[] bytes = Arrays.copyOf(whole, cut);
+            assertThat(catchThrowable(() -> new ListFiles.Reading(BOUNDS).part(FILE, bytes))).as("cut at " + cut)
+                    .isInstanceOf(ListFault.class);
+        }
+        for (int cut = 0; cut < manifest.length - 1; cut++) {
+            byte[] bytes = Arrays.copyOf(manifest, cut);
+            assertThat(catchThrowable(() -> ListFiles.manifest(FILE, bytes))).as("cut at " + cut)
+                    .isInstanceOf(ListFault.class);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "{\"end\":1} | part:2: its end says another number of endpoints than the 0 before it",
+        "E{\"end\":0} | part:3: its end says another number of endpoints than the 1 before it",
+        "E{\"end\":1}E | part:3: something follows its end",
+        "EE | part:3: destination 1 has two endpoints of the name a",
+        "{\"destination\":1,\"address\":\"127.0.0.1:80\"} | part:2: an endpoint has a \"destination\" and a \"name\"",
+        "{\"destination\":-1,\"name\":\"a\"} | part:2: \"destination\" is a whole number, not -1",
+        "{\"destination\":1,\"name\":\"a\",\"address\":\"host:80\"} | part:2: \"address\": not an address: host:80",
+        "{\"destination\":1,\"name\":\"a\",\"address\":\"127.0.0.1\"} | part:2: \"address\": not an address: 127.0.0.1",
+        "{\"weight\":0,\"destination\":1,\"name\":\"a\"} | part:2: \"weight\" is above 0 and at most 1e9, not 0.0",
+        "{\"weight\":\"2\"} | part:2: \"weight\" is a number, not 2",
+        "{\"status\":\"up\",\"destination\":1,\"name\":\"a\"} | part:2: \"status\" is serving or draining, not up",
+        "{\"wieght\":2} | part:2: \"wieght\" is not known",
+        "{\"name\":\"a\\u0007\"} | part:2: \"name\" holds a control character",
+        "[] | part:2: it ends without {\"end\": 0}: cut off",
+    })
+    void whatIsWrongIsNamedWithItsLine(String text, String fault) {
+        assertThatThrownBy(() -> part(HEAD + text.replace("E", endpoint("")))).isInstanceOf(ListFault.class)
+                .hasMessage(fault);
+    }
+
+    @Test void aListIsBoundedInEveryWay() {
+        StringBuilder many = new StringBuilder(HEAD);
+        for (int i = 0; i < 6; i++) {
+            many.append(endpoint("").replace("\"a\"", "\"a" + i + "\"").replace(":1,", ":" + i % 2 + ","));
+        }
+        assertThatThrownBy(() -> part(many.toString())).hasMessageContaining("more than 5 endpoints");
+        assertThatThrownBy(() -> part(many.toString().replace(":0,", ":1,"))).hasMessageContaining("more than 3 endpoints");
+        assertThatThrownBy(() -> part("{\"format\":\"wrenreach-list\",\"version\":2}\n{\"end\":0}"))
+                .hasMessage("part:1: is not of the format wrenreach-list, version 1, but wrenreach-list, version 2");
+        assertThatThrownBy(() -> part("{\"format\":\"other\",\"version\":1}\n")).isInstanceOf(ListFault.class);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"../a", "/a", "a/../b", "./a", "''"})
+    void aPartLiesBesideItsManifest(String name) throws Exception {
+        byte[] bytes = ListFiles.write(new ListFiles.Manifest("", "", List.of(new ListFiles.Part(name, "0".repeat(64)))));
+        assertThatThrownBy(() -> ListFiles.manifest(FILE, bytes)).hasMessageContaining("a name beside the manifest");
+    }
+
+    @Test void aPartOfAnotherManifestIsAFault() throws Exception {
+        Files.writeString(folder.resolve("a"), HEAD + endpoint("") + "{\"end\":1}");
+        String sum = ListFiles.sum(Files.readAllBytes(folder.resolve("a")));
+        for (String said : List.of(sum, "0".repeat(64))) {
+            Path manifest = folder.resolve("manifest");
+            Files.write(manifest, ListFiles.write(new ListFiles.Manifest("", "", List.of(new ListFiles.Part("a", said)))));
+            ListFiles.Found found = ListFiles.find(manifest);
+            Throwable thrown = catchThrowable(() -> ListFiles.read(found, ListFiles.manifest(manifest, found.bytes()), BOUNDS));
+            assertThat(thrown == null).isEqualTo(said.equals(sum));
+        }
+        assertThatThrownBy(() -> ListFiles.find(folder.resolve("absent"))).hasMessageEndingWith("no such file");
+    }
+}
