--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -958,9 +958,10 @@
     }
 
     private void join(Endpoint e) {
-        if (e.to.endpoints.contains(e)) {
+        if (e.listed) {
             return;
         }
+        e.listed = true;
         if (!e.to.known) {
             e.to.known = true;
             known.add(e.to);
@@ -987,7 +988,9 @@
     /** Guards memory, and the places of those that stay, against endpoints gone for good. */
     private static void leave(Endpoint e) {
         e.ready = false;
-        if (e.to.endpoints.remove(e)) {
+        if (e.listed) {
+            e.listed = false;
+            e.to.endpoints.remove(e);
             e.route.endpoints--;
             e.to.routes.removeIf(r -> r.endpoints == 0 && e.to.routes.size() > 1);
         }
--- a/decisions/src/main/java/wrenreach/state/Directory.java
+++ b/decisions/src/main/java/wrenreach/state/Directory.java
@@ -47,7 +47,7 @@
             sweepAt = 2 * keys.size() + FIRST_SWEEP;
         }
         if (endpoints.size() >= sweepEndpointsAt) {
-            endpoints.values().removeIf(e -> !e.to.endpoints.contains(e) && e.out == 0);
+            endpoints.values().removeIf(e -> !e.listed && e.out == 0);
             sweepEndpointsAt = 2 * endpoints.size() + FIRST_SWEEP;
         }
     }
--- a/decisions/src/main/java/wrenreach/state/Endpoint.java
+++ b/decisions/src/main/java/wrenreach/state/Endpoint.java
@@ -11,6 +11,8 @@
     public final int zone;
     public Route route;
     public boolean ready;
+    /** Whether its destination has it: a list names it. */
+    public boolean listed;
     public int out;
     public Call joining;
     public int failedRun;
--- a/decisions/src/test/java/wrenreach/state/DirectoryTest.java
+++ b/decisions/src/test/java/wrenreach/state/DirectoryTest.java
@@ -11,7 +11,7 @@
         Endpoint endpoint = directory.endpoint("s-" + number,
                 () -> new Endpoint(number, directory.destination(1), 0, 0));
         if (listed) {
-            endpoint.to.endpoints.add(endpoint);
+            endpoint.listed = true;
         }
         return endpoint;
     }
--- a/lists/src/main/java/wrenreach/lists/Generation.java
+++ b/lists/src/main/java/wrenreach/lists/Generation.java
@@ -1,17 +1,26 @@
 package wrenreach.lists;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import wrenreach.net.ListLine;
 
 /**
  * One list as it was written whole. print: twelve letters that stand for its content; label: its writer's own name for
- * it; endpoints: by the id that the node knows them under, in the order of the files.
+ * it; endpoints: by the id that the node knows them under, in the order of the files; serving: how many endpoints serve
+ * each destination that the list names.
  */
-record Generation(String print, String label, Map<String, ListLine.Entry> endpoints) {
+record Generation(String print, String label, Map<String, ListLine.Entry> endpoints, Map<Integer, Integer> serving) {
     static final String SERVING = "SERVING", DRAINING = "DRAINING", DELETED = "DELETED";
     private static final String PREFIX = "file:";
 
+    /** The same, with what serves each destination counted. */
+    Generation(String print, String label, Map<String, ListLine.Entry> endpoints) {
+        this(print, label, endpoints, new HashMap<>());
+        endpoints.values().forEach(e -> serving.merge(e.group(), serves(e) ? 1 : 0, Integer::sum));
+    }
+
     /** Guards against discovery's endpoints of the same name, and a name that stands at two destinations. */
     static String id(int destination, String name) {
         return PREFIX + destination + "/" + name;
@@ -26,10 +35,20 @@
         return entry != null && entry.status().equals(SERVING);
     }
 
-    /** How many endpoints serve each destination that the list names. */
-    Map<Integer, Integer> serving() {
-        Map<Integer, Integer> counts = new HashMap<>();
-        endpoints.values().forEach(e -> counts.merge(e.group(), serves(e) ? 1 : 0, Integer::sum));
-        return counts;
+    /** The ids of endpoints that the two lists know differently; earlier may be null. */
+    static List<String> differing(Generation earlier, Generation next) {
+        Map<String, ListLine.Entry> before = earlier == null ? Map.of() : earlier.endpoints;
+        List<String> ids = new ArrayList<>();
+        next.endpoints.forEach((id, entry) -> {
+            if (!entry.equals(before.get(id))) {
+                ids.add(id);
+            }
+        });
+        before.keySet().forEach(id -> {
+            if (!next.endpoints.containsKey(id)) {
+                ids.add(id);
+            }
+        });
+        return ids;
     }
 }
--- a/lists/src/main/java/wrenreach/lists/ListFiles.java
+++ b/lists/src/main/java/wrenreach/lists/ListFiles.java
@@ -96,9 +96,9 @@
         }
     }
 
-    /** The list that a manifest names, in all of its parts. */
-    static Generation read(Found found, Manifest manifest, Bounds bounds) throws ListFault {
-        Reading reading = new Reading(bounds);
+    /** The list that a manifest names, in all of its parts; earlier: what it shares with is kept once, or null. */
+    static Generation read(Found found, Manifest manifest, Bounds bounds, Generation earlier) throws ListFault {
+        Reading reading = new Reading(bounds, earlier);
         long left = bounds.bytes();
         for (Part part : manifest.parts) {
             Path file = found.real.resolveSibling(part.file);
@@ -157,7 +157,8 @@
 
     private static ListFault malformed(Path file, JsonProcessingException e) {
         int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-        return new ListFault(file, line, "can't be read as JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+        return new ListFault(file, line, "can't be read as JSON: "
+                + e.getOriginalMessage().lines().findFirst().orElse("").replaceAll(" \\(start marker at.*", ""));
     }
 
     private static void parts(Fields fields, List<Part> parts) throws IOException, ListFault {
@@ -242,10 +243,13 @@
         private final Map<String, String> texts = new HashMap<>();
         private final Map<Integer, Integer> ofDestination = new HashMap<>();
         private final Bounds bounds;
+        private final Map<String, ListLine.Entry> earlier;
         private Map<String, String> head = Map.of();
 
-        Reading(Bounds bounds) {
+        /** earlier: entries that are the same in it are kept once; null: none. */
+        Reading(Bounds bounds, Generation earlier) {
             this.bounds = bounds;
+            this.earlier = earlier == null ? Map.of() : earlier.endpoints();
         }
 
         /** One part: its head, an endpoint a line, and how many they were. */
@@ -338,7 +342,11 @@
             String id = Generation.id((int) destination, name);
             ListLine.Entry entry = new ListLine.Entry(id, address, once(zone), once(kind), (int) destination,
                     status.equals("serving") ? Generation.SERVING : Generation.DRAINING, weight);
-            if (endpoints.put(id, entry) != null) {
+            ListLine.Entry same = earlier.get(id);
+            if (!entry.equals(same)) {
+                same = entry;
+            }
+            if (endpoints.put(same.name(), same) != null) {
                 throw fields.fault("destination " + destination + " has two endpoints of the name " + name);
             }
             if (endpoints.size() > bounds.endpoints()) {
@@ -390,7 +398,7 @@
     /** The list that {@link #write} wrote. */
     static Generation reread(Path file, Bounds bounds) throws ListFault {
         try {
-            Reading reading = new Reading(bounds);
+            Reading reading = new Reading(bounds, null);
             reading.part(file, bytes(file, bounds.bytes()));
             return new Generation(reading.head.getOrDefault("print", ""), reading.head.getOrDefault("label", ""),
                     reading.endpoints);
--- a/lists/src/main/java/wrenreach/lists/ListsCommand.java
+++ b/lists/src/main/java/wrenreach/lists/ListsCommand.java
@@ -50,7 +50,7 @@
     private static void check(Path file, PrintStream out) throws ListFault {
         ListFiles.Found found = ListFiles.find(file);
         ListFiles.Manifest manifest = ListFiles.manifest(found.real(), found.bytes());
-        Generation list = ListFiles.read(found, manifest, BOUNDS);
+        Generation list = ListFiles.read(found, manifest, BOUNDS, null);
         Map<String, Integer> zones = new TreeMap<>();
         Map<String, Integer> serving = new TreeMap<>();
         for (ListLine.Entry entry : list.endpoints().values()) {
@@ -83,7 +83,7 @@
         byte[] bytes = ListFiles.write(manifest);
         // Nothing is put in place that a node would not read.
         Generation list = ListFiles.read(new ListFiles.Found(file.toAbsolutePath(), bytes),
-                ListFiles.manifest(file, bytes), BOUNDS);
+                ListFiles.manifest(file, bytes), BOUNDS, null);
         ListFiles.replace(file, bytes);
         out.printf("%s: %s \"%s\", %d endpoints%n", file, list.print(), list.label(), list.endpoints().size());
     }
--- a/lists/src/main/java/wrenreach/lists/Roster.java
+++ b/lists/src/main/java/wrenreach/lists/Roster.java
@@ -67,13 +67,15 @@
         return settle(touched, false, now);
     }
 
-    /** A list takes the place of the one in force. */
-    ListLine accepted(Generation next, long now) {
-        Set<String> touched = new LinkedHashSet<>(next.endpoints().keySet());
-        if (files != null) {
-            touched.addAll(files.endpoints().keySet());
+    /**
+     * A list takes the place of the one in force; differing: the ids that both know differently. Guards the loop: a
+     * large list costs a turn only what has changed in it.
+     */
+    ListLine accepted(Generation next, List<String> differing, long now) {
+        Set<String> touched = new LinkedHashSet<>(differing);
+        if (files == null || !all && !named.equals(next.serving().keySet())) {
+            touched.addAll(discovery.keySet());
         }
-        touched.addAll(discovery.keySet());
         rule(next);
         return settle(touched, true, now);
     }
--- a/lists/src/main/java/wrenreach/lists/WatchedLists.java
+++ b/lists/src/main/java/wrenreach/lists/WatchedLists.java
@@ -1,14 +1,20 @@
 package wrenreach.lists;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.lang.System.Logger.Level;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import wrenreach.frame.Host;
 import wrenreach.frame.ListGate;
@@ -27,6 +33,8 @@
     static final String KEPT = "in-force.jsonl";
     /** How long one line on a fault stands for those that follow, in microseconds. */
     private static final long QUIET = 10_000_000;
+    /** Endpoints made ready in one go, and how long to wait for the loop to do it. */
+    private static final int PIECE = 500, PIECE_MS = 2000;
 
     private final Host host;
     private final AtomicReference<ListsSection> section;
@@ -103,9 +111,9 @@
         return changes;
     }
 
-    private void take(Generation list) {
+    private void take(Generation list, List<String> differing) {
         long now = host.now();
-        ListLine changes = roster.accepted(list, now);
+        ListLine changes = roster.accepted(list, differing, now);
         host.listed(changes);
         drainLater(now);
     }
@@ -140,7 +148,7 @@
             ListFiles.Manifest manifest = ListFiles.manifest(found.real(), found.bytes());
             Generation inForce = guard.inForce();
             if (inForce == null || !manifest.print().equals(inForce.print())) {
-                judge(ListFiles.read(found, manifest, now.bounds()), manifest.confirm());
+                judge(ListFiles.read(found, manifest, now.bounds(), inForce), manifest.confirm());
             } else if (!status.quiet()) {
                 say(status.sound(System.currentTimeMillis()));
             }
@@ -176,6 +184,7 @@
     }
 
     private void judge(Generation list, String confirm) {
+        Generation before = guard.inForce();
         ListGuard.Verdict verdict = guard.judge(list, confirm, host.now());
         if (verdict instanceof ListGuard.HeldBack held) {
             LogEvent.tell(LOG, Level.WARNING, "lists.held", "lists: {print} \"{label}\" is held back until the manifest "
@@ -184,8 +193,10 @@
             say(status.heldBack(list, held.reasons(), System.currentTimeMillis()));
         } else if (verdict instanceof ListGuard.Accepted accepted) {
             if (roster != null) {
+                List<String> differing = Generation.differing(before, list);
                 try {
-                    host.loop().execute(() -> take(list));
+                    prepare(list, differing);
+                    host.loop().execute(() -> take(list, differing));
                 } catch (RejectedExecutionException e) {
                     return; // The node has stopped.
                 }
@@ -198,11 +209,31 @@
         }
     }
 
+    /** Guards the loop: what is new is made ready piece by piece, each after the turns that the one before held up. */
+    private void prepare(Generation list, List<String> differing) {
+        List<ListLine.Entry> entries = differing.stream().map(list.endpoints()::get).filter(Objects::nonNull).toList();
+        for (int from = 0; entries.size() > PIECE && from < entries.size(); from += PIECE) {
+            List<ListLine.Entry> piece = entries.subList(from, Math.min(from + PIECE, entries.size()));
+            try {
+                CompletableFuture.runAsync(() -> host.prepare(piece), host.loop()).get(PIECE_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (TimeoutException e) {
+                return; // The node stands still or has stopped: the rest is made ready when the list takes effect.
+            } catch (ExecutionException e) {
+                throw new IllegalStateException(e.getCause());
+            }
+        }
+    }
+
     private void keep(Generation list) {
         try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            ListFiles.write(bytes, list);
-            ListFiles.replace(kept.resolve(KEPT), bytes.toByteArray());
+            Path next = kept.resolve(KEPT + ".next");
+            try (OutputStream out = Files.newOutputStream(next)) {
+                ListFiles.write(out, list);
+            }
+            Files.move(next, kept.resolve(KEPT), StandardCopyOption.ATOMIC_MOVE);
         } catch (IOException e) {
             LogEvent.tell(LOG, Level.WARNING, "lists.kept", "lists: {print} can't be kept for the next start: {why}",
                     "print", list.print(), "why", e.getMessage());
--- a/lists/src/test/java/wrenreach/lists/ListFilesTest.java
+++ b/lists/src/test/java/wrenreach/lists/ListFilesTest.java
@@ -22,7 +22,7 @@
     @TempDir Path folder;
 
     private static Generation part(String text) throws ListFault {
-        ListFiles.Reading reading = new ListFiles.Reading(BOUNDS);
+        ListFiles.Reading reading = new ListFiles.Reading(BOUNDS, null);
         reading.part(FILE, text.getBytes(StandardCharsets.UTF_8));
         return new Generation("", "", reading.endpoints);
     }
@@ -52,7 +52,7 @@
         assertThat(ListFiles.manifest(FILE, manifest).parts()).hasSize(2);
         for (int cut = 0; cut < whole.length - 1; cut++) {
             byte[] bytes = Arrays.copyOf(whole, cut);
-            assertThat(catchThrowable(() -> new ListFiles.Reading(BOUNDS).part(FILE, bytes))).as("cut at " + cut)
+            assertThat(catchThrowable(() -> new ListFiles.Reading(BOUNDS, null).part(FILE, bytes))).as("cut at " + cut)
                     .isInstanceOf(ListFault.class);
         }
         for (int cut = 0; cut < manifest.length - 1; cut++) {
@@ -110,7 +110,7 @@
             Path manifest = folder.resolve("manifest");
             Files.write(manifest, ListFiles.write(new ListFiles.Manifest("", "", List.of(new ListFiles.Part("a", said)))));
             ListFiles.Found found = ListFiles.find(manifest);
-            Throwable thrown = catchThrowable(() -> ListFiles.read(found, ListFiles.manifest(manifest, found.bytes()), BOUNDS));
+            Throwable thrown = catchThrowable(() -> ListFiles.read(found, ListFiles.manifest(manifest, found.bytes()), BOUNDS, null));
             assertThat(thrown == null).isEqualTo(said.equals(sum));
         }
         assertThatThrownBy(() -> ListFiles.find(folder.resolve("absent"))).hasMessageEndingWith("no such file");
--- /dev/null
+++ b/lists/src/test/java/wrenreach/lists/ListsBench.java
@@ -0,0 +1,115 @@
+package wrenreach.lists;
+
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import wrenreach.net.ListLine;
+
+/**
+ * Measures watched lists on loopback; run by bench/lists.sh, outside CI. Arguments: rounds of the first measurement,
+ * endpoints and destinations of the second.
+ */
+final class ListsBench {
+    private ListsBench() { }
+
+    public static void main(String[] args) throws Exception {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        Path folder = Files.createTempDirectory("lists");
+        fromRenameToFirstMail(folder.resolve("small"), Integer.parseInt(args[0]));
+        large(folder.resolve("large"), Integer.parseInt(args[1]), Integer.parseInt(args[2]));
+        System.exit(0);
+    }
+
+    /** From the manifest's rename to the first mail that goes to an endpoint of the new list alone, under load. */
+    private static void fromRenameToFirstMail(Path folder, int rounds) throws Exception {
+        Files.createDirectories(folder);
+        long[] micros = new long[rounds];
+        try (Loopback all = new Loopback(folder, 2, 0, Loopback.section(folder, 1, 10_000))) {
+            int mail = 0;
+            for (int i = 0; i < rounds; i++) {
+                int to = (i + 1) % 2;
+                long renamed = all.put("list " + i, List.of(to));
+                long first = Long.MAX_VALUE;
+                while (first == Long.MAX_VALUE) {
+                    all.handIn("m" + mail++);
+                    for (Loopback.Came call = all.calls.poll(); call != null; call = all.calls.poll()) {
+                        first = call.receiver() == to && call.at() > renamed ? Math.min(first, call.at()) : first;
+                    }
+                }
+                micros[i] = (first - renamed) / 1000;
+                if (i % 50 == 49) {
+                    System.err.println("round " + (i + 1) + " of " + rounds);
+                }
+                TimeUnit.MILLISECONDS.sleep(40);
+            }
+        }
+        Arrays.sort(micros);
+        System.out.printf("rename to first mail by the new list, us, %d rounds: median %d, 99th percentile %d, most %d%n",
+                rounds, micros[rounds / 2], micros[(int) (rounds * 0.99)], micros[rounds - 1]);
+    }
+
+    private static byte[] part(int endpoints, int destinations, int without) throws IOException {
+        Map<String, ListLine.Entry> entries = new LinkedHashMap<>();
+        for (int i = without; i < endpoints; i++) {
+            int destination = 1 + i % destinations;
+            String id = Generation.id(destination, "server-" + i);
+            entries.put(id, new ListLine.Entry(id, "127.1." + i / 250 % 250 + "." + (1 + i % 250) + ":8080", "zone-" + i % 7,
+                    "small", destination, Generation.SERVING, 10));
+        }
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ListFiles.write(out, new Generation("", "", entries));
+        return out.toByteArray();
+    }
+
+    private static long heap() throws InterruptedException {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 10;
+    }
+
+    private static void large(Path folder, int endpoints, int destinations) throws Exception {
+        Files.createDirectories(folder);
+        try (Loopback all = new Loopback(folder, 1, 0, Loopback.section(folder, 1, 10_000))) {
+            AtomicLong longest = new AtomicLong();
+            AtomicLong before = new AtomicLong(System.nanoTime());
+            all.node.loop().scheduleAtFixedRate(() -> {
+                long now = System.nanoTime();
+                longest.accumulateAndGet(now - before.getAndSet(now), Math::max);
+            }, 1, 1, TimeUnit.MILLISECONDS);
+            long small = heap();
+            String[] steps = {"all new", "1 of 100 left out", "all but 1 of 100 back", "the same again"};
+            for (int step = 0; step < steps.length; step++) {
+                byte[] part = part(endpoints, destinations, step % 2 == 1 && step < 3 ? endpoints / 100 : 0);
+                ListFiles.replace(folder.resolve("part"), part);
+                byte[] manifest = ListFiles.write(new ListFiles.Manifest("large " + step, "",
+                        List.of(new ListFiles.Part("part", ListFiles.sum(part)))));
+                longest.set(0);
+                long accepted = all.status().accepted();
+                long at = System.nanoTime();
+                ListFiles.replace(folder.resolve("manifest.json"), manifest);
+                boolean same = step == steps.length - 1;
+                while (!same && all.status().accepted() == accepted) {
+                    TimeUnit.MILLISECONDS.sleep(1);
+                }
+                all.node.loop().submit(() -> { }).sync();
+                long taken = (System.nanoTime() - at) / 1_000_000;
+                TimeUnit.MILLISECONDS.sleep(same ? 500 : 200);
+                System.out.printf("%d endpoints of %d destinations, %.1f MB, %s: read, judged, told and kept in %d ms; "
+                        + "longest gap of the loop %d ms%n", endpoints, destinations, part.length / 1e6, steps[step], taken,
+                        longest.get() / 1_000_000);
+            }
+            System.out.printf("heap: %d KB more than with one endpoint%n", heap() - small);
+        }
+    }
+}
--- a/lists/src/test/java/wrenreach/lists/RosterTest.java
+++ b/lists/src/test/java/wrenreach/lists/RosterTest.java
@@ -39,11 +39,19 @@
                 + (Generation.serves(e) ? "" : "!")).sorted().toList();
     }
 
+    private Generation inForce;
+
+    private ListLine accept(Roster roster, Generation next, long now) {
+        List<String> differing = Generation.differing(inForce, next);
+        inForce = next;
+        return roster.accepted(next, differing, now);
+    }
+
     @Test void filesRuleFromTheFirstListOnAndDiscoveryIsDrained() {
         Roster roster = new Roster(true, DRAIN, null);
         assertThat(after(roster.discovered(line(true, told("x", 1, "SERVING"), told("y", 2, "SERVING")), 0)))
                 .containsExactly("1/x", "2/y");
-        assertThat(after(roster.accepted(list("1/a@n"), 5))).containsExactly("1/a", "1/x!", "2/y!");
+        assertThat(after(accept(roster, list("1/a@n"), 5))).containsExactly("1/a", "1/x!", "2/y!");
         assertThat(roster.dueAt()).isEqualTo(15);
         assertThat(after(roster.discovered(line(false, told("x", 1, "SERVING"), told("z", 1, "SERVING")), 6)))
                 .containsExactly("1/a", "1/x!", "2/y!");
@@ -54,21 +62,21 @@
     }
 
     @Test void whereFilesNameADestinationOnlyTheyCountForIt() {
-        Roster roster = new Roster(false, DRAIN, list("1/a@n"));
+        Roster roster = new Roster(false, DRAIN, inForce = list("1/a@n"));
         assertThat(after(roster.discovered(line(true, told("x", 1, "SERVING"), told("y", 2, "SERVING")), 0)))
                 .containsExactly("1/a", "2/y");
-        assertThat(after(roster.accepted(list("2/b@n"), 1))).containsExactly("1/a!", "1/x", "2/b", "2/y!");
+        assertThat(after(accept(roster, list("2/b@n"), 1))).containsExactly("1/a!", "1/x", "2/b", "2/y!");
         assertThat(after(roster.due(20))).containsExactly("1/x", "2/b");
         assertThat(after(roster.discovered(line(true, told("v", 1, "SERVING")), 21))).containsExactly("1/v", "2/b");
     }
 
     @Test void whatComesBackWhileItIsDrainedServesAgain() {
-        Roster roster = new Roster(true, DRAIN, list("1/a@n 1/b@n"));
+        Roster roster = new Roster(true, DRAIN, inForce = list("1/a@n 1/b@n"));
         assertThat(after(roster.discovered(line(true), 0))).containsExactly("1/a", "1/b");
-        assertThat(after(roster.accepted(list("1/a@n"), 1))).containsExactly("1/a", "1/b!");
-        assertThat(after(roster.accepted(list("1/a@n 1/b@n"), 2))).containsExactly("1/a", "1/b");
+        assertThat(after(accept(roster, list("1/a@n"), 1))).containsExactly("1/a", "1/b!");
+        assertThat(after(accept(roster, list("1/a@n 1/b@n"), 2))).containsExactly("1/a", "1/b");
         assertThat(roster.due(100).entries()).isEmpty();
-        assertThat(roster.accepted(list("1/a@n 1/b@n"), 3).entries()).isEmpty();
+        assertThat(accept(roster, list("1/a@n 1/b@n"), 3).entries()).isEmpty();
     }
 
     /** Guards against mixtures: in any course of events a destination's serving endpoints are of one source. */
@@ -88,7 +96,7 @@
                     words.add(random.nextInt(4) + "/e" + random.nextInt(4) + "@n" + (random.nextInt(5) == 0 ? "!" : ""));
                 }
                 files = list(String.join(" ", words.stream().distinct().toList()));
-                after(roster.accepted(files, now));
+                after(accept(roster, files, now));
             } else if (kind < 7) {
                 boolean whole = kind == 1;
                 int destination = random.nextInt(4);
--- /dev/null
+++ b/lists/src/test/java/wrenreach/lists/WatchedListsTest.java
@@ -0,0 +1,279 @@
+package wrenreach.lists;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import wrenreach.api.Settings;
+import wrenreach.frame.Host;
+import wrenreach.frame.Subsystem;
+import wrenreach.held.Submission;
+import wrenreach.net.Asker;
+import wrenreach.net.ListLine;
+
+/** Watched files beside a host that only notes what it is told. */
+class WatchedListsTest {
+    @TempDir Path folder;
+    private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
+    /** What the module would know after each line, as the names of the endpoints that serve. */
+    private final LinkedBlockingQueue<Set<String>> pictures = new LinkedBlockingQueue<>();
+    private final Map<String, ListLine.Entry> known = new HashMap<>();
+    private final Host host = new Host() {
+        @Override public String name() {
+            return "test";
+        }
+
+        @Override public Settings settings() {
+            return null;
+        }
+
+        @Override public Executor loop() {
+            return loop;
+        }
+
+        @Override public void later(Runnable work, long delay) {
+            loop.schedule(work, delay, TimeUnit.MICROSECONDS);
+        }
+
+        @Override public long now() {
+            return System.nanoTime() / 1000;
+        }
+
+        @Override public void prepare(List<ListLine.Entry> entries) { }
+
+        @Override public void listed(ListLine line) {
+            for (ListLine.Entry entry : line.entries()) {
+                known.put(entry.name(), entry);
+            }
+            pictures.add(known.values().stream().filter(Generation::serves).map(e -> Generation.name(e.name()))
+                    .collect(Collectors.toSet()));
+        }
+
+        @Override public void handIn(Submission submission, long lifetimeMs, Asker asker) { }
+    };
+    private final List<Set<String>> seen = new ArrayList<>();
+    private WatchedLists lists;
+
+    @AfterEach void stop() {
+        if (lists != null) {
+            lists.stopped();
+        }
+        loop.shutdownNow();
+    }
+
+    private Path manifest() {
+        return folder.resolve("manifest.json");
+    }
+
+    private Path kept() {
+        return folder.resolve("kept");
+    }
+
+    private ListsSection section(double mostGone) {
+        return new ListsSection(manifest(), kept(), "all", mostGone, 0, 10_000, 300_000, 100_000, 1 << 20, 10_000, 4096);
+    }
+
+    private void start(double mostGone) throws Subsystem.CantStart {
+        lists = new WatchedLists(section(mostGone), host);
+        loop.execute(() -> host.listed(lists.discovered(new ListLine(0, true, List.of()), host.now())));
+        loop.execute(lists::serving);
+    }
+
+    /** A part with these endpoints of destination 1. */
+    private static byte[] part(String... names) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ListFiles.write(out, Lists.list(Arrays.stream(names).map(n -> "1/" + n + "@n").collect(Collectors.joining(" "))));
+        return out.toByteArray();
+    }
+
+    private static byte[] manifest(String label, String confirm, Map<String, byte[]> parts) throws IOException {
+        return ListFiles.write(new ListFiles.Manifest(label, confirm, parts.entrySet().stream().sorted(Map.Entry.comparingByKey())
+                .map(e -> new ListFiles.Part(e.getKey(), ListFiles.sum(e.getValue()))).toList()));
+    }
+
+    private String put(String label, String confirm, String... names) throws Exception {
+        byte[] part = part(names);
+        ListFiles.replace(folder.resolve("part"), part);
+        byte[] manifest = manifest(label, confirm, Map.of("part", part));
+        ListFiles.replace(manifest(), manifest);
+        return ListFiles.manifest(manifest(), manifest).print();
+    }
+
+    private void until(String... names) throws InterruptedException {
+        Set<String> wanted = Set.of(names);
+        Set<String> last = null;
+        do {
+            last = pictures.poll(20, TimeUnit.SECONDS);
+            assertThat(last).as("waiting for " + wanted).isNotNull();
+            seen.add(last);
+        } while (!last.equals(wanted));
+    }
+
+    private Status status(java.util.function.Predicate<Status> wanted) throws Exception {
+        Status last = null;
+        for (int i = 0; i < 1000 && (last == null || !wanted.test(last)); i++) {
+            Thread.sleep(10);
+            last = Files.exists(kept().resolve(Status.FILE)) ? Status.read(kept()) : null;
+        }
+        assertThat(last).matches(wanted);
+        return last;
+    }
+
+    private static String command(int code, String... words) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream both = new PrintStream(out, true, StandardCharsets.UTF_8);
+        assertThat(new ListsCommand().run(List.of(words), both, both)).as(out.toString(StandardCharsets.UTF_8)).isEqualTo(code);
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Guards against mixed lists: a writer that tears, cuts and renames two parts and their manifest 4,000 times beside
+     * the reading thread. Each picture is of one generation: all names of a generation carry its number.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void besideATearingWriterEachListInForceIsOneGenerationWrittenWhole(long seed) throws Exception {
+        Random random = new Random(seed);
+        start(1);
+        until();
+        Set<Set<String>> written = new HashSet<>();
+        for (int g = 0; g < 2000; g++) {
+            String[] north = {"g" + g + "-a", "g" + g + "-b"};
+            String[] south = {"g" + g + "-c"};
+            Map<String, byte[]> parts = Map.of("north", part(north), "south", part(south));
+            List<Path> order = new ArrayList<>(List.of(folder.resolve("north"), folder.resolve("south"), manifest()));
+            for (Path file : order) {
+                byte[] bytes = file.equals(manifest()) ? manifest("g" + g, "", parts) : parts.get(file.getFileName().toString());
+                switch (random.nextInt(4)) {
+                    case 0 -> Files.write(file, Arrays.copyOf(bytes, random.nextInt(bytes.length)));
+                    case 1 -> {
+                        Files.write(file, Arrays.copyOf(bytes, bytes.length / 2));
+                        Files.write(file, bytes);
+                    }
+                    default -> ListFiles.replace(file, bytes);
+                }
+                if (random.nextInt(50) == 0) {
+                    Files.deleteIfExists(file);
+                }
+            }
+            written.add(Set.of(north[0], north[1], south[0]));
+        }
+        String last = put("last", "", "end");
+        until("end");
+        assertThat(ListFiles.reread(kept().resolve(WatchedLists.KEPT), section(1).bounds()).print()).isEqualTo(last);
+        written.add(Set.of("end"));
+        written.add(Set.of());
+        assertThat(written).containsAll(seen);
+        assertThat(seen.size()).as("lists taken beside the writer").isGreaterThan(5);
+    }
+
+    @Test void whatIsHeldBackIsShownAndTakenOnceConfirmed() throws Exception {
+        put("both", "", "a", "b", "c");
+        start(0.5);
+        until("a", "b", "c");
+        String print = put("one left", "", "a");
+        assertThat(status(s -> !s.heldPrint().isEmpty()).heldPrint()).isEqualTo(print);
+        assertThat(command(1, "status", kept().toString())).contains("in force: ").contains("\"both\", 3 endpoints")
+                .contains("held back: " + print + " \"one left\"")
+                .contains("zone n would lose 2 of 3 endpoints, at most 50% may go");
+        put("one left", "000000000000", "a");
+        put("one left", print, "a");
+        until("a");
+        assertThat(seen).isSubsetOf(Set.of(), Set.of("a", "b", "c"), Set.of("a"));
+        assertThat(command(0, "status", kept().toString())).contains("\"one left\", 1 endpoints").doesNotContain("held");
+    }
+
+    @Test void afterARestartTheListInForceStaysWhileTheFilesAreFaulty() throws Exception {
+        put("good", "", "a", "b");
+        start(0.5);
+        until("a", "b");
+        lists.stopped();
+        Files.writeString(manifest(), "{");
+        start(0.5);
+        until("a", "b");
+        assertThat(status(s -> !s.fault().isEmpty()).fault()).contains("manifest.json:1: can't be read as JSON");
+        assertThat(command(1, "status", kept().toString())).contains("can't be read since");
+        put("next", "", "a", "b", "c");
+        until("a", "b", "c");
+        assertThat(status(Status::quiet).label()).isEqualTo("next");
+    }
+
+    @Test void aFlippedLinkASameTimeStampAndAFileGoneAndBackAreSeen() throws Exception {
+        Path one = Files.createDirectory(folder.resolve("one"));
+        Path two = Files.createDirectory(folder.resolve("two"));
+        for (Path at : List.of(one, two)) {
+            byte[] part = part(at.getFileName().toString());
+            Files.write(at.resolve("part"), part);
+            Files.write(at.resolve("manifest.json"), manifest("l", "", Map.of("part", part)));
+        }
+        Path current = Files.createSymbolicLink(folder.resolve("current"), one);
+        Files.createSymbolicLink(manifest(), Path.of("current", "manifest.json"));
+        start(1);
+        until("one");
+        Files.move(Files.createSymbolicLink(folder.resolve("next"), two), current, StandardCopyOption.ATOMIC_MOVE);
+        until("two");
+        // The same time stamp and length: content tells.
+        FileTime stamp = Files.getLastModifiedTime(two.resolve("manifest.json"));
+        byte[] part = part("six");
+        Files.write(two.resolve("part"), part);
+        Path next = Files.write(two.resolve("next"), manifest("l", "", Map.of("part", part)));
+        Files.setLastModifiedTime(next, stamp);
+        Files.move(next, two.resolve("manifest.json"), StandardCopyOption.ATOMIC_MOVE);
+        until("six");
+        Files.delete(two.resolve("manifest.json"));
+        status(s -> s.fault().endsWith("no such file"));
+        Files.write(two.resolve("manifest.json"), manifest("l", "", Map.of("part", part)));
+        status(Status::quiet);
+        assertThat(pictures).allMatch(picture -> picture.equals(Set.of("six")));
+    }
+
+    @Test void theCommandsMakeCheckAndRefuse() throws Exception {
+        Files.write(folder.resolve("north"), part("a", "b"));
+        Files.write(folder.resolve("south"), part("c"));
+        String manifest = manifest().toString();
+        assertThat(command(0, "make", manifest, "north", "south", "--label=first")).contains("\"first\", 3 endpoints");
+        assertThat(command(0, "check", manifest)).contains("\"first\": 3 endpoints of 1 destinations in 2 parts")
+                .contains("zone n            3 endpoints, 3 of them serving");
+        Files.write(folder.resolve("south"), part("a"));
+        assertThat(command(2, "check", manifest)).contains("south: its SHA-256 is");
+        assertThat(command(2, "make", manifest, "north", "south")).contains("two endpoints of the name a");
+        assertThat(command(2, "check")).startsWith("usage:");
+        assertThat(command(2, "status", folder.resolve("absent").toString())).contains("NoSuchFile");
+    }
+
+    @Test void aKeptListThatIsTornStopsTheStart() throws Exception {
+        Files.createDirectories(kept());
+        Files.write(kept().resolve(WatchedLists.KEPT), Arrays.copyOf(part("a"), 50));
+        assertThatThrownBy(() -> new WatchedLists(section(1), host)).isInstanceOf(Subsystem.CantStart.class)
+                .hasMessageContaining("the list kept can't be read");
+        Path file = Files.writeString(folder.resolve("file"), "");
+        assertThatThrownBy(() -> new WatchedLists(new ListsSection(manifest(), file.resolve("x"), "all", 1, 0, 0, 1, 1, 1, 1, 1),
+                host)).isInstanceOf(Subsystem.CantStart.class).hasMessageContaining("can't be used");
+    }
+}
--- a/node/src/main/java/wrenreach/frame/Host.java
+++ b/node/src/main/java/wrenreach/frame/Host.java
@@ -1,5 +1,6 @@
 package wrenreach.frame;
 
+import java.util.List;
 import java.util.concurrent.Executor;
 import wrenreach.api.Settings;
 import wrenreach.held.Submission;
@@ -23,6 +24,12 @@
     /** One time that only goes forward, in microseconds. */
     long now();
 
+    /**
+     * Makes ready what a line to come will name for the first time; nothing is listed by it. Guards the loop: a large
+     * list can be made ready in pieces, and takes effect at one stroke.
+     */
+    void prepare(List<ListLine.Entry> entries);
+
     /** Tells the module news of the list of endpoints; it bypasses the {@link ListGate}. */
     void listed(ListLine line);
 
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -76,7 +76,8 @@
     private final Notices notices;
     private final Discovery discovery;
     private final Directory<String> directory = new Directory<>();
-    private final Map<Endpoint, String> names = new IdentityHashMap<>();
+    /** As what each endpoint was listed last. */
+    private final Map<Endpoint, ListLine.Entry> listed = new IdentityHashMap<>();
     private final HeldMails held;
     /** Mails in their first turn and who waits for the answer. */
     private final Map<HeldMail, Asker> fresh = new LinkedHashMap<>();
@@ -419,12 +420,17 @@
         journal.connecting(mail, past(connect, false));
         if (subsystems.hears()) {
             subsystems.happened(new NodeEvent.ConnectBegun(mail.submission.id(), connect.number,
-                    names.getOrDefault(connect.endpoint, ""), now));
+                    name(connect.endpoint), now));
         }
     }
 
+    private String name(Endpoint endpoint) {
+        ListLine.Entry entry = listed.get(endpoint);
+        return entry == null ? "" : entry.name();
+    }
+
     private PastConnect past(Connect c, boolean neverRan) {
-        return new PastConnect(c.number, names.getOrDefault(c.endpoint, ""), c.endpoint.zone, c.sentAt + wallAhead,
+        return new PastConnect(c.number, name(c.endpoint), c.endpoint.zone, c.sentAt + wallAhead,
                 neverRan);
     }
 
@@ -432,7 +438,7 @@
         turn();
         if (subsystems.hears()) {
             subsystems.happened(new NodeEvent.ConnectEnded(mail.submission.id(), connect.number,
-                    names.getOrDefault(connect.endpoint, ""), outcome, now));
+                    name(connect.endpoint), outcome, now));
         }
         boolean inJournal = mail.connects.stream().anyMatch(past -> past.number() == connect.number);
         if (over && mail.ending == null) {
@@ -472,11 +478,7 @@
     private void list(ListLine line, Listing.Scope scope) {
         List<Listing.Entry> entries = new ArrayList<>(line.entries().size());
         for (ListLine.Entry entry : line.entries()) {
-            Destination to = directory.destination(entry.group());
-            int kind = config.kinds().indexOf(entry.type());
-            Endpoint endpoint = directory.endpoint(entry.name(), () -> new Endpoint(endpointsSeen++, to,
-                    kind < 0 ? config.kinds().size() : kind, config.zones().indexOf(entry.zone())));
-            names.putIfAbsent(endpoint, entry.name());
+            Endpoint endpoint = endpoint(entry);
             Listing.State state = switch (entry.status()) {
                 case "SERVING" -> Listing.State.READY;
                 case "DRAINING" -> Listing.State.DRAINING;
@@ -484,7 +486,7 @@
             };
             try {
                 if (state != Listing.State.GONE) {
-                    calls.locate(endpoint, Addresses.parse(entry.address()));
+                    locate(endpoint, entry);
                 }
                 entries.add(new Listing.Entry(endpoint, state, entry.weight()));
             } catch (IllegalArgumentException e) {
@@ -496,12 +498,36 @@
         // Guards memory and descriptors: new endpoints under new ids replace old ones for as long as the node runs.
         if (scope == Listing.Scope.CHANGES) {
             entries.stream().filter(e -> e.state() == Listing.State.GONE).map(Listing.Entry::endpoint).forEach(gone -> {
-                names.remove(gone);
+                listed.remove(gone);
                 calls.drop(gone);
             });
         } else {
-            names.keySet().removeIf(endpoint -> !endpoint.to.endpoints.contains(endpoint));
-            calls.keepOnly(names.keySet());
+            listed.keySet().removeIf(endpoint -> !endpoint.listed);
+            calls.keepOnly(listed.keySet());
+        }
+    }
+
+    private Endpoint endpoint(ListLine.Entry entry) {
+        return directory.endpoint(entry.name(), () -> {
+            int kind = config.kinds().indexOf(entry.type());
+            return new Endpoint(endpointsSeen++, directory.destination(entry.group()),
+                    kind < 0 ? config.kinds().size() : kind, config.zones().indexOf(entry.zone()));
+        });
+    }
+
+    private void locate(Endpoint endpoint, ListLine.Entry entry) {
+        ListLine.Entry before = listed.get(endpoint);
+        if (before == null || !before.address().equals(entry.address())) {
+            calls.locate(endpoint, Addresses.parse(entry.address()));
+        }
+        listed.put(endpoint, entry);
+    }
+
+    @Override public void prepare(List<ListLine.Entry> entries) {
+        for (ListLine.Entry entry : entries) {
+            if (directory.endpoint(entry.name()) == null) {
+                locate(endpoint(entry), entry);
+            }
         }
     }
 
