--- a/app/src/main/java/wrenreach/app/Serve.java
+++ b/app/src/main/java/wrenreach/app/Serve.java
@@ -5,7 +5,6 @@
 import java.lang.System.Logger.Level;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import sun.misc.Signal;
@@ -36,7 +35,8 @@
     private final Path operatorFile;
     private final Map<String, String> environment;
     private final PrintStream err;
-    private OperatorFile operator = OperatorFile.none();
+    /** As read last; null: there is none, and none of its classes is loaded. */
+    private OperatorFile operator;
     private JsonLog json;
     private String name = "node";
 
@@ -84,8 +84,8 @@
         name = read.name();
         if (operatorFile != null) {
             operator = OperatorFile.read(operatorFile, Parts.sections());
+            log(operator);
         }
-        log(operator);
         Journal journal;
         try {
             Files.createDirectories(state);
@@ -113,20 +113,18 @@
         if (own != null) {
             own.tell(bytes -> reloaded(bytes, node));
         }
-        List<FileWatch> watches = told ? List.of() : watches(config, own);
-        watches.forEach(FileWatch::start);
-        int code = node.stopped().join();
-        watches.forEach(FileWatch::close);
-        return code;
+        if (!told) {
+            watch(config, own);
+        }
+        return node.stopped().join();
     }
 
-    private List<FileWatch> watches(Reload config, Reload own) {
-        List<FileWatch> watches = new ArrayList<>();
-        watches.add(new FileWatch("wrenreach-config", () -> List.of(file), LOOK, PATIENCE, config));
+    /** Follows the files on threads that end with the process. */
+    private void watch(Reload config, Reload own) {
+        new FileWatch("wrenreach-config", () -> List.of(file), LOOK, PATIENCE, config).start();
         if (own != null) {
-            watches.add(new FileWatch("wrenreach-operator", () -> List.of(operatorFile), LOOK, PATIENCE, own));
+            new FileWatch("wrenreach-operator", () -> List.of(operatorFile), LOOK, PATIENCE, own).start();
         }
-        return watches;
     }
 
     private <S extends Record> void start(Subsystem<S> subsystem, DeliveryNode node) throws Subsystem.CantStart {
