Rehearsal begins as the platform starts a node, so the archive knows those classes

Cause: Serve and what it uses were read from the jar at each start, not from the class-data archive (class+load log).

--- a/app/src/main/java/wrenreach/app/Main.java
+++ b/app/src/main/java/wrenreach/app/Main.java
@@ -42,9 +42,11 @@
 
     /** Whether a command line asks for more than the jar holds: an operator's file, or a command of a subsystem. */
     static boolean needsParts(String[] args, Map<String, String> environment) {
-        return args.length > 0 && (!OWN.contains(args[0]) || args[0].equals("help")
-                || args[0].equals("serve") && (!environment.getOrDefault("WRENREACH_OPERATOR", "").isEmpty()
-                || List.of(args).stream().anyMatch(word -> word.startsWith("--operator"))));
+        boolean own = !environment.getOrDefault("WRENREACH_OPERATOR", "").isEmpty();
+        for (String word : args) {
+            own |= word.startsWith("--operator");
+        }
+        return args.length > 0 && (!OWN.contains(args[0]) || args[0].equals("help") || args[0].equals("serve") && own);
     }
 
     /** Runs a command line with the process's environment; the exit code. */
@@ -86,8 +88,12 @@
                             : Path.of(own), environment, System.err)
                             .run(path(line, "state", environment), line.hasOption("check"));
                 case "rehearse":
-                    return Rehearsal.run(Config.read(path(line, "config", environment), environment),
-                            path(line, "state", environment));
+                    Path state = path(line, "state", environment);
+                    Path file = path(line, "config", environment);
+                    // A start as the platform makes it, so that the archive knows its classes too; then the mails.
+                    int started = new Serve(file, null, environment, System.err).run(state.resolve("start"), true);
+                    return started != 0 ? started
+                            : Rehearsal.run(Config.read(file, environment), state.resolve("mails"));
                 case "held":
                     return held(path(line, "state", environment));
                 case "wirehost":
--- a/bench/start.sh
+++ b/bench/start.sh
@@ -27,8 +27,10 @@
     wait "$pid" 2>/dev/null || true
 }
 for ((i = 0; i < rounds; i++)); do
-    one "$old" $((20000 + i % 2000)) >>"$here/old"
+    # In turns, and each goes first as often as the other.
+    ((i % 2)) || one "$old" $((20000 + i % 2000)) >>"$here/old"
     one "$new" $((22000 + i % 2000)) "$@" >>"$here/new"
+    ((i % 2 == 0)) || one "$old" $((20000 + i % 2000)) >>"$here/old"
 done
 for side in old new; do
     for column in 1 2; do
