--- a/app/src/main/java/wrenreach/app/Parts.java
+++ b/app/src/main/java/wrenreach/app/Parts.java
@@ -30,6 +30,7 @@
     static List<Command> commands() {
         List<Command> all = new ArrayList<>();
         subsystems().forEach(subsystem -> all.addAll(subsystem.commands()));
+        ServiceLoader.load(Command.class, Parts.class.getClassLoader()).forEach(all::add);
         return all;
     }
 }
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/Clients.java
@@ -0,0 +1,188 @@
+package wrenreach.lab;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Clients behind a front: mails come whatever becomes of those before (open loop), each waits 400 ms for its answer, is
+ * handed in again under a new id after a refusal or silence while its time lasts, and a key's next waits for the answer
+ * of the one before. The front notices late that a node has died.
+ */
+final class Clients {
+    private static final long MS = 1_000_000, PATIENCE = 400 * MS, FRONT_NOTICES = 1500 * MS;
+    private static final int KEYS = 20;
+
+    private final class Mail {
+        final String base;
+        final int destination;
+        final String key;
+        final long until;
+        int tries;
+
+        Mail(String base, int destination, String key, long until) {
+            this.base = base;
+            this.destination = destination;
+            this.key = key;
+            this.until = until;
+        }
+    }
+
+    private final World world;
+    private final int destinations;
+    private final String queueClass;
+    private final long lifetime;
+    private final Network.Party party = new Network.Party("clients");
+    private final Map<String, Deque<Mail>> keys = new HashMap<>();
+    private final Map<String, Long> diedAt = new HashMap<>();
+    private int made;
+    private int port = 1024;
+
+    /** lifetime: nanoseconds that a mail may take. */
+    Clients(World world, int destinations, String queueClass, long lifetime) {
+        this.world = world;
+        this.destinations = destinations;
+        this.queueClass = queueClass;
+        this.lifetime = lifetime;
+    }
+
+    /** Hands in mails at this rate (a second) until that instant. */
+    void come(double rate, long until) {
+        long next = world.now() + world.after(1e9 / rate);
+        if (next < until) {
+            world.at(next, () -> {
+                String key = "k" + world.below(KEYS);
+                Mail mail = new Mail("m" + made++, world.below(destinations), key, world.now() + lifetime);
+                Deque<Mail> line = keys.computeIfAbsent(key, k -> new ArrayDeque<>());
+                line.addLast(mail);
+                if (line.size() == 1) {
+                    handIn(mail);
+                }
+                come(rate, until);
+            });
+        }
+    }
+
+    private LabNode choose(String key) {
+        List<LabNode> known = new ArrayList<>();
+        for (LabNode node : world.nodes) {
+            if (node.up()) {
+                diedAt.remove(node.name);
+            } else {
+                diedAt.putIfAbsent(node.name, world.now());
+            }
+            if (node.up() || world.now() - diedAt.get(node.name) < FRONT_NOTICES) {
+                known.add(node);
+            }
+        }
+        // A key keeps to its node while that one is there.
+        List<LabNode> from = known.isEmpty() ? world.nodes : known;
+        LabNode own = world.nodes.get(Math.floorMod(key.hashCode(), world.nodes.size()));
+        return from.contains(own) ? own : from.get(Math.floorMod(key.hashCode(), from.size()));
+    }
+
+    private void done(Mail mail) {
+        Deque<Mail> line = keys.get(mail.key);
+        line.remove(mail);
+        if (!line.isEmpty()) {
+            handIn(line.peekFirst());
+        }
+    }
+
+    private void handIn(Mail mail) {
+        long left = (mail.until - world.now()) / MS;
+        if (left <= 0) {
+            done(mail);
+            return;
+        }
+        String id = mail.base + "." + mail.tries++;
+        LabNode node = choose(mail.key);
+        world.record(new Fact.HandedIn(world.now(), id, node.name, mail.destination, mail.key, mail.base, mail.until));
+        String fields = "c=" + queueClass + ",t=shop,d=" + left + ",k=" + mail.base + ",dest=" + mail.destination
+                + (mail.tries > 1 ? ",r=1" : "");
+        StringBuilder request = new StringBuilder("*5\r\n");
+        for (String word : List.of("ENQUEUE", mail.key, id, fields, "body of " + id)) {
+            request.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        Waiting waiting = new Waiting(mail, id, node);
+        world.later(PATIENCE, waiting::gaveUp);
+        world.network.connect(party, new InetSocketAddress("127.0.0.1", 1024 + port++ % 60_000), node.address,
+                new Network.Connecting() {
+            @Override public Network.End opened(Network.Link link) {
+                waiting.link = link;
+                if (waiting.over) {
+                    link.close(null);
+                } else {
+                    // The end is known to the link once this returns.
+                    world.at(world.now(), () -> link.send(waiting, request.toString().getBytes(StandardCharsets.US_ASCII)));
+                }
+                return waiting;
+            }
+
+            @Override public void refused() {
+                waiting.answered("NONE", 50);
+            }
+        });
+    }
+
+    /** One request under way. */
+    private final class Waiting implements Network.End {
+        private final Mail mail;
+        private final String id;
+        private final LabNode node;
+        private final StringBuilder text = new StringBuilder();
+        private Network.Link link;
+        private boolean over;
+
+        Waiting(Mail mail, String id, LabNode node) {
+            this.mail = mail;
+            this.id = id;
+            this.node = node;
+        }
+
+        @Override public void received(byte[] bytes) {
+            text.append(new String(bytes, StandardCharsets.US_ASCII));
+            if (text.indexOf("\r\n") > 0) {
+                String line = text.substring(0, text.indexOf("\r\n"));
+                if (line.startsWith("+")) {
+                    answered("OK", 0);
+                } else if (line.startsWith("-BUSY")) {
+                    String[] words = line.split(" ");
+                    answered("BUSY", Math.max(20, words.length > 1 ? Integer.parseInt(words[1]) : 100));
+                } else {
+                    answered("ERR", 0);
+                }
+            }
+        }
+
+        @Override public void closed() {
+            answered("NONE", 50);
+        }
+
+        void gaveUp() {
+            answered("NONE", 0);
+        }
+
+        /** againMs: when to hand in again after a refusal or silence. */
+        void answered(String answer, int againMs) {
+            if (over) {
+                return;
+            }
+            over = true;
+            world.record(new Fact.Answered(world.now(), id, node.name, answer));
+            if (link != null) {
+                link.close(this);
+            }
+            if (answer.equals("OK") || answer.equals("ERR")) {
+                done(mail);
+            } else {
+                world.later((againMs + world.below(1 + againMs / 2)) * MS, () -> handIn(mail));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/Explore.java
@@ -0,0 +1,69 @@
+package wrenreach.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import wrenreach.api.Dispatcher;
+import wrenreach.api.Settings;
+
+/** Looks for scenarios that break a rule, and cuts one down to what still breaks the same rule. */
+final class Explore {
+    /** Plays that a shrinking may take. */
+    private static final int PLAYS = 200;
+
+    private final Function<Settings, Dispatcher> module;
+    private int plays;
+
+    Explore(Function<Settings, Dispatcher> module) {
+        this.module = module;
+    }
+
+    /** What a scenario breaks. */
+    List<Rules.Break> breaks(Scenario scenario) {
+        Play play = Play.of(scenario, module);
+        return Rules.judge(scenario, play.world.facts, play.settings, play.world.now());
+    }
+
+    /** The smallest scenario found that still breaks the rule: fewest faults, nodes, receivers, mails, time. */
+    Scenario shrink(Scenario broken, Rules.Rule rule) {
+        plays = 0;
+        Scenario least = broken;
+        for (boolean smaller = true; smaller && plays < PLAYS;) {
+            smaller = false;
+            for (Scenario next : smallerThan(least)) {
+                plays++;
+                if (breaks(next).stream().anyMatch(one -> one.rule() == rule)) {
+                    least = next;
+                    smaller = true;
+                    break;
+                }
+            }
+        }
+        return least;
+    }
+
+    private static List<Scenario> smallerThan(Scenario s) {
+        List<Scenario> all = new ArrayList<>();
+        for (int i = 0; i < s.faults().size(); i++) {
+            List<Scenario.Fault> fewer = new ArrayList<>(s.faults());
+            fewer.remove(i);
+            all.add(s.with(fewer));
+        }
+        if (s.nodes() > 1) {
+            all.add(new Scenario(s.seed(), s.nodes() - 1, s.destinations(), s.endpoints(), s.rate(), s.lengthMs(), s.faults()));
+        }
+        if (s.destinations() > 1) {
+            all.add(new Scenario(s.seed(), s.nodes(), 1, s.endpoints(), s.rate(), s.lengthMs(), s.faults()));
+        }
+        if (s.endpoints() > 1) {
+            all.add(new Scenario(s.seed(), s.nodes(), s.destinations(), 1, s.rate(), s.lengthMs(), s.faults()));
+        }
+        if (s.rate() > 4) {
+            all.add(new Scenario(s.seed(), s.nodes(), s.destinations(), s.endpoints(), s.rate() / 2, s.lengthMs(), s.faults()));
+        }
+        if (s.lengthMs() > 2000) {
+            all.add(new Scenario(s.seed(), s.nodes(), s.destinations(), s.endpoints(), s.rate(), s.lengthMs() * 3 / 4, s.faults()));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/HttpPeer.java
@@ -0,0 +1,76 @@
+package wrenreach.lab;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** The side of a connection that answers HTTP requests; as much of it as nodes speak. */
+abstract class HttpPeer implements Network.End {
+    /** One request; headers by their names in small letters. */
+    record Request(String method, String path, Map<String, String> headers, byte[] body) { }
+
+    final Network.Link link;
+    private ByteArrayOutputStream unread = new ByteArrayOutputStream();
+    private boolean begun;
+    boolean over;
+
+    HttpPeer(Network.Link link) {
+        this.link = link;
+    }
+
+    /** The first bytes of a request have come. */
+    abstract void begins(String head);
+
+    /** A request has come whole. */
+    abstract void asked(Request request);
+
+    @Override public void received(byte[] bytes) {
+        unread.writeBytes(bytes);
+        while (!over) {
+            byte[] all = unread.toByteArray();
+            String text = new String(all, StandardCharsets.ISO_8859_1);
+            if (!begun && !text.isEmpty()) {
+                begun = true;
+                begins(text);
+            }
+            int end = text.indexOf("\r\n\r\n");
+            if (end < 0) {
+                return;
+            }
+            String[] lines = text.substring(0, end).split("\r\n");
+            Map<String, String> headers = new HashMap<>();
+            for (int i = 1; i < lines.length; i++) {
+                int colon = lines[i].indexOf(':');
+                headers.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT), lines[i].substring(colon + 1).strip());
+            }
+            int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+            if (all.length < end + 4 + length) {
+                return;
+            }
+            byte[] body = java.util.Arrays.copyOfRange(all, end + 4, end + 4 + length);
+            unread = new ByteArrayOutputStream();
+            unread.write(all, end + 4 + length, all.length - end - 4 - length);
+            begun = false;
+            String[] first = lines[0].split(" ");
+            asked(new Request(first[0], first[1], headers, body));
+        }
+    }
+
+    @Override public void closed() {
+        over = true;
+    }
+
+    void write(String text) {
+        if (!over) {
+            link.send(this, text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    /** Writes an answer without a body. */
+    void answer(String status, String... headers) {
+        write("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n" + String.join("\r\n", headers)
+                + (headers.length > 0 ? "\r\n" : "") + "\r\n");
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/Network.java
@@ -0,0 +1,222 @@
+package wrenreach.lab;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What lies between parties: delay, fragments, cuts, refused and silent connects, half-open connections. */
+final class Network {
+    /** One end of a connection. */
+    interface End {
+        /** Bytes have come. */
+        void received(byte[] bytes);
+
+        /** The other side has closed, or the connection broke. */
+        void closed();
+    }
+
+    /** Who takes connections at an address. */
+    interface Listener {
+        /** The party that listens. */
+        Party party();
+
+        /** A connection has come up; the end that will hear of it. */
+        End accepted(Link link, InetSocketAddress from);
+    }
+
+    /** Who waits for a connect. */
+    interface Connecting {
+        /** It came up; the end that will hear of it. */
+        End opened(Link link);
+
+        void refused();
+    }
+
+    /** A process or machine with connections of its own. */
+    static final class Party {
+        final String name;
+        final Set<Link> links = new LinkedHashSet<>();
+        /** What it sent at the present instant: a kill at that instant may take it back. */
+        private final List<Flight> sent = new ArrayList<>();
+        private long sentAt = -1;
+        boolean up = true;
+
+        Party(String name) {
+            this.name = name;
+        }
+    }
+
+    /** Bytes under way. */
+    private static final class Flight {
+        boolean takenBack;
+    }
+
+    /** One connection, seen from whom it was asked for (a) and who took it (b). */
+    final class Link {
+        final Party a;
+        final Party b;
+        private End endA;
+        private End endB;
+        private boolean closedA;
+        private boolean closedB;
+        private long lastToA;
+        private long lastToB;
+
+        private Link(Party a, Party b) {
+            this.a = a;
+            this.b = b;
+            a.links.add(this);
+            b.links.add(this);
+        }
+
+        /** Sends bytes from one side; they come in order, maybe in pieces. */
+        void send(End from, byte[] bytes) {
+            boolean toB = from == endA;
+            Party sender = toB ? a : b;
+            int pieces = bytes.length > 1 && world.chance(FRAGMENTED) ? 2 + world.below(3) : 1;
+            int at = 0;
+            for (int i = 0; i < pieces; i++) {
+                int end = i == pieces - 1 ? bytes.length : at + world.below(bytes.length - at);
+                byte[] piece = Arrays.copyOfRange(bytes, at, end);
+                at = end;
+                if (piece.length > 0) {
+                    carry(toB, sender, () -> {
+                        End to = toB ? endB : endA;
+                        if (to != null && !(toB ? closedB : closedA)) {
+                            to.received(piece);
+                        }
+                    });
+                }
+            }
+        }
+
+        /** One side closes; the other hears of it after all that was sent. */
+        void close(End from) {
+            boolean byA = from == endA;
+            if (byA ? closedA : closedB) {
+                return;
+            }
+            closedA |= byA;
+            closedB |= !byA;
+            (byA ? a : b).links.remove(this);
+            carry(byA, byA ? a : b, () -> end(byA));
+        }
+
+        private void end(boolean atB) {
+            if (!(atB ? closedB : closedA)) {
+                closedA |= !atB;
+                closedB |= atB;
+                (atB ? b : a).links.remove(this);
+                End end = atB ? endB : endA;
+                if (end != null) {
+                    end.closed();
+                }
+            }
+        }
+
+        private void carry(boolean toB, Party sender, Runnable work) {
+            long at = Math.max(world.now() + delay(), (toB ? lastToB : lastToA) + 1);
+            lastToB = toB ? at : lastToB;
+            lastToA = toB ? lastToA : at;
+            Flight flight = new Flight();
+            if (sender.sentAt != world.now()) {
+                sender.sentAt = world.now();
+                sender.sent.clear();
+            }
+            sender.sent.add(flight);
+            world.at(at, () -> {
+                if (!flight.takenBack && !cut(a, b)) {
+                    work.run();
+                }
+            });
+        }
+    }
+
+    private static final double FRAGMENTED = 0.05;
+    private static final long LEAST_DELAY = 150_000, MORE_DELAY = 300_000;
+
+    private final World world;
+    private final Map<InetSocketAddress, Listener> listeners = new HashMap<>();
+    private final Set<String> cuts = new LinkedHashSet<>();
+
+    Network(World world) {
+        this.world = world;
+    }
+
+    private long delay() {
+        return LEAST_DELAY + world.below((int) MORE_DELAY);
+    }
+
+    private boolean cut(Party a, Party b) {
+        return cuts.contains(a.name + "|" + b.name) || cuts.contains(b.name + "|" + a.name)
+                || cuts.contains(a.name + "|*") || cuts.contains(b.name + "|*");
+    }
+
+    /** Nothing gets through between the two from now on; "*": all others. */
+    void cut(String a, String b, boolean on) {
+        if (on) {
+            cuts.add(a + "|" + b);
+        } else {
+            cuts.remove(a + "|" + b);
+        }
+    }
+
+    void listen(InetSocketAddress at, Listener listener) {
+        listeners.put(at, listener);
+    }
+
+    void unlisten(InetSocketAddress at, Listener listener) {
+        listeners.remove(at, listener);
+    }
+
+    /** Asks for a connection. Nothing is heard where a cut lies between, nor before a round trip has passed. */
+    void connect(Party from, InetSocketAddress own, InetSocketAddress to, Connecting asks) {
+        world.at(world.now() + delay(), () -> {
+            Listener listener = listeners.get(to);
+            if (listener != null && cut(from, listener.party())) {
+                return;
+            }
+            if (listener == null || !listener.party().up) {
+                world.at(world.now() + delay(), asks::refused);
+                return;
+            }
+            Link link = new Link(from, listener.party());
+            link.endB = listener.accepted(link, own);
+            long back = world.now() + delay();
+            link.lastToA = back;
+            world.at(back, () -> {
+                if (!from.up) {
+                    link.close(null);
+                } else if (!link.closedA) {
+                    link.endA = asks.opened(link);
+                } else {
+                    asks.refused();
+                }
+            });
+        });
+    }
+
+    /** The party's process dies: its connections break. takeBack: what it sent at this instant never left it. */
+    void die(Party party, boolean takeBack) {
+        party.up = false;
+        if (takeBack && party.sentAt == world.now()) {
+            party.sent.forEach(flight -> flight.takenBack = true);
+        }
+        for (Link link : List.copyOf(party.links)) {
+            boolean isA = link.a == party;
+            link.closedA |= isA;
+            link.closedB |= !isA;
+            world.at(world.now() + delay(), () -> {
+                if (!cut(link.a, link.b)) {
+                    link.end(isA);
+                }
+            });
+        }
+        party.links.clear();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/Platform.java
@@ -0,0 +1,73 @@
+package wrenreach.lab;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Discovery and the platform, as one node's agent shows them. */
+final class Platform implements Network.Listener {
+    private static final long BEAT = 2_000_000_000L;
+    private static final Pattern NOTICE = Pattern.compile("\"id\":\"([^\"]+)\",\"status\":\"([^\"]+)\"");
+
+    private final World world;
+    private final String node;
+    private final Network.Party party;
+    private final Supplier<String> list;
+    private final List<HttpPeer> watches = new ArrayList<>();
+
+    /** list: the whole list as discovery words it, at the instant it is asked for. */
+    Platform(World world, String node, InetSocketAddress address, Supplier<String> list) {
+        this.world = world;
+        this.node = node;
+        this.list = list;
+        party = new Network.Party("platform-" + node);
+        world.network.listen(address, this);
+        beat();
+    }
+
+    @Override public Network.Party party() {
+        return party;
+    }
+
+    private void beat() {
+        watches.removeIf(watch -> watch.over);
+        watches.forEach(watch -> chunk(watch, "\n"));
+        world.later(BEAT, this::beat);
+    }
+
+    private static void chunk(HttpPeer watch, String text) {
+        watch.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    /** The list has changed. */
+    void changed() {
+        watches.forEach(watch -> chunk(watch, list.get() + "\n"));
+    }
+
+    @Override public Network.End accepted(Network.Link link, InetSocketAddress from) {
+        return new HttpPeer(link) {
+            @Override void begins(String head) { }
+
+            @Override void asked(Request request) {
+                if (request.path().startsWith("/v2/finals")) {
+                    Matcher notices = NOTICE.matcher(new String(request.body(), StandardCharsets.UTF_8));
+                    while (notices.find()) {
+                        world.record(new Fact.Noticed(world.now(), notices.group(1), node, notices.group(2)));
+                    }
+                    write("HTTP/1.1 204 No Content\r\n\r\n");
+                } else if (request.path().contains("stream=1")) {
+                    write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    chunk(this, list.get() + "\n");
+                    watches.add(this);
+                } else {
+                    String text = list.get();
+                    write("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text);
+                }
+            }
+        };
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/Play.java
@@ -0,0 +1,163 @@
+package wrenreach.lab;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import wrenreach.api.Dispatcher;
+import wrenreach.api.Settings;
+import wrenreach.node.Config;
+
+/** Plays one scenario: builds its world, lets its faults happen and hands back what happened. */
+final class Play {
+    static final long MS = 1_000_000;
+    /** Figures of the settings that all scenarios share, in seconds. */
+    static final double LIFETIME = 8, WINDOW = 5, GRACE = 0.5, COLD_FROM = 0.3, COLD = 6, OVERLOAD = 2, TIP_AFTER = 2;
+    private static final String[] EFFECTS = {"token", "side_effect", "pure"};
+    /** After the last mail its time and the restart of its node may still pass. */
+    private static final long AFTER = 14_000 * MS;
+
+    final Scenario scenario;
+    final World world;
+    final Settings settings;
+    private final List<Receiver> receivers = new ArrayList<>();
+    private final List<Platform> platforms = new ArrayList<>();
+    private int version = 1;
+    private int replaced;
+
+    private Play(Scenario scenario, Function<Settings, Dispatcher> module) {
+        this.scenario = scenario;
+        world = new World(scenario.seed());
+        for (int i = 0; i < scenario.destinations() * scenario.endpoints(); i++) {
+            receivers.add(receiver("r" + i, i, i % scenario.destinations()));
+        }
+        Config config = null;
+        for (int i = 0; i < scenario.nodes(); i++) {
+            InetSocketAddress agent = new InetSocketAddress("127.9.0." + (i + 1), 8500);
+            config = config(i, agent);
+            world.nodes.add(new LabNode(world, "n" + i, config.listen(), config, module));
+            platforms.add(new Platform(world, "n" + i, agent, this::list));
+        }
+        settings = config.settings();
+        world.nodes.forEach(LabNode::start);
+    }
+
+    /** Plays a scenario with this module in its nodes, to its end. */
+    static Play of(Scenario scenario, Function<Settings, Dispatcher> module) {
+        Play play = new Play(scenario, module);
+        play.run();
+        return play;
+    }
+
+    private void run() {
+        long begin = world.now();
+        long length = scenario.lengthMs() * MS;
+        Clients clients = new Clients(world, scenario.destinations(), "order", (long) (LIFETIME * 1e9));
+        world.later(500 * MS, () -> clients.come(scenario.rate(), begin + length));
+        for (Scenario.Fault fault : scenario.faults()) {
+            world.at(begin + fault.atMs() * MS, () -> begin(fault));
+        }
+        world.play(begin + length + AFTER);
+    }
+
+    private Receiver receiver(String name, int number, int destination) {
+        return new Receiver(world, name, new InetSocketAddress("127.8." + number / 200 + "." + (number % 200 + 1), 80),
+                destination, COLD_FROM, COLD, OVERLOAD, TIP_AFTER);
+    }
+
+    private String list() {
+        return "{\"index\":" + version + ",\"snapshot\":true,\"endpoints\":[" + receivers.stream().map(r -> String.format(
+                Locale.ROOT, "{\"name\":\"%s\",\"address\":\"%s:80\",\"zone\":\"home\",\"type\":\"small\",\"group\":%d,"
+                + "\"status\":\"%s\",\"weight\":100}", r.name, r.address.getHostString(), r.destination,
+                r.draining ? "DRAINING" : "SERVING")).collect(Collectors.joining(",")) + "]}";
+    }
+
+    private Config config(int number, InetSocketAddress agent) {
+        String json = String.format(Locale.ROOT, """
+                {"name":"n%d","listen":"127.7.0.%d:6379","discovery":"%s:8500","seed":"%x",
+                 "limits":{"cores":1,"memory_mb":192,"sockets":512,"disk_mb":2},"known":%s,
+                 "settings":{"Me":%d,"GroupSize":%d,"Zone":0,"Areas":["home"],"Kinds":["small"],"Tick":0.005,
+                 "Discovery":"push","Weights":"nominal","OverShareWorth":0.5,
+                 "Classes":[{"Name":"order","Promise":2,"Deadline":%.1f,"Value":1,"LateShare":0.5,"Effect":"%s",
+                 "KeyScope":"all","Window":%.1f,"InTurn":true,"Stream":false}],
+                 "Tenants":[{"Name":"shop","QuotaPerS":1000,"Share":1}],
+                 "FamilyInfo":{"MaxCalls":12,"KindApart":[false],"BatchByKind":[1],"Decay":"even"},
+                 "Feedback":{"How":"piggyback","Names":["x0","x1"]},
+                 "Limits":{"MaxOpen":400,"TryLimit":4,"MaxStreams":1,"ParallelTries":false,"Cancelling":true,
+                 "RetryAfter":true,"MaxRetryAfter":3,"ConnIdle":6,"ConnectTimeout":1},
+                 "Rules":{"AnswerSlack":0.02,"DrainGrace":%.1f,"ColdFrom":%.2f,"Cold":%.1f,"OverloadFactor":%.1f,
+                 "TipAfter":%.1f,"OrderSettle":0.1}}}
+                """, number, number + 1, agent.getHostString(), scenario.seed() * 64 + number & Long.MAX_VALUE, list(), number,
+                scenario.nodes(), LIFETIME, EFFECTS[(int) Math.floorMod(scenario.seed(), 3L)], WINDOW, GRACE, COLD_FROM, COLD,
+                OVERLOAD, TIP_AFTER);
+        try {
+            return Config.parse(json.getBytes(StandardCharsets.UTF_8), Map.of());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void begin(Scenario.Fault fault) {
+        world.record(new Fact.Fault(world.now(), fault.text()));
+        LabNode node = world.nodes.get(Math.floorMod(fault.which(), world.nodes.size()));
+        Receiver receiver = receivers.get(Math.floorMod(fault.which(), receivers.size()));
+        long length = fault.forMs() * MS;
+        switch (fault.kind()) {
+            case KILL -> {
+                node.kill(LabNode.Moment.BETWEEN);
+                world.later(length, () -> restart(node));
+            }
+            case KILL_WRITTEN -> node.killAtWrite(1, LabNode.Moment.WRITTEN, () -> world.later(length, () -> restart(node)));
+            case KILL_TORN -> node.killAtWrite(1, LabNode.Moment.TORN, () -> world.later(length, () -> restart(node)));
+            case DOWN -> {
+                if (receiver.party.up) {
+                    receiver.up(false);
+                    world.later(length, () -> receiver.up(true));
+                }
+            }
+            case SILENT, SLOW, FULL, ERRING -> {
+                receiver.failing = fault.kind();
+                world.later(length, () -> receiver.failing = null);
+            }
+            case DRAIN -> drain(receiver);
+            case CUT_PLATFORM -> cut(node.name, "platform-" + node.name, length);
+            case CUT_RECEIVER -> cut(node.name, receiver.name, length);
+        }
+    }
+
+    private void restart(LabNode node) {
+        if (!node.up()) {
+            node.start();
+        }
+    }
+
+    private void cut(String a, String b, long length) {
+        world.network.cut(a, b, true);
+        world.later(length, () -> world.network.cut(a, b, false));
+    }
+
+    /** A receiver is drained and another one takes its place; the old one leaves the list later. */
+    private void drain(Receiver old) {
+        if (old.draining) {
+            return;
+        }
+        int number = receivers.size() + replaced++;
+        receivers.add(receiver("r" + number, number, old.destination));
+        old.draining = true;
+        version++;
+        world.nodes.stream().filter(LabNode::up)
+                .forEach(node -> world.record(new Fact.ToldDrain(world.now(), node.name, old.name)));
+        platforms.forEach(Platform::changed);
+    }
+
+    /** The day as lines, with how it came out. */
+    List<String> timeline() {
+        return world.facts.stream().map(Fact::line).toList();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/WireChannel.java
@@ -0,0 +1,191 @@
+package wrenreach.lab;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.AbstractChannel;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelConfig;
+import io.netty.channel.ChannelMetadata;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.DefaultChannelConfig;
+import io.netty.channel.EventLoop;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** A node's connection over the world's network. */
+final class WireChannel extends AbstractChannel implements Network.End {
+    private static final ChannelMetadata METADATA = new ChannelMetadata(false, 16);
+
+    private final LabNode node;
+    private final ChannelConfig config = new Options(this);
+    private final Deque<byte[]> inbound = new ArrayDeque<>();
+    private Network.Link link;
+    private InetSocketAddress remote;
+    private boolean open = true;
+    private boolean ended;
+    private boolean wantsToRead;
+    private Future<?> patience;
+
+    /** Options of real sockets are taken and mean nothing here. */
+    static final class Options extends DefaultChannelConfig {
+        Options(Channel channel) {
+            super(channel);
+        }
+
+        @Override public <T> boolean setOption(ChannelOption<T> option, T value) {
+            return super.setOption(option, value) || true;
+        }
+    }
+
+    WireChannel(LabNode node) {
+        super(null);
+        this.node = node;
+    }
+
+    /** One that a node's door has taken. */
+    WireChannel(Channel parent, LabNode node, Network.Link link, InetSocketAddress remote) {
+        super(parent);
+        this.node = node;
+        this.link = link;
+        this.remote = remote;
+    }
+
+    // ---- From the network: on the node's loop at the present instant ----
+
+    @Override public void received(byte[] bytes) {
+        inbound.add(bytes);
+        node.run(this::deliver);
+    }
+
+    @Override public void closed() {
+        ended = true;
+        node.run(this::deliver);
+    }
+
+    private void deliver() {
+        if (wantsToRead && !inbound.isEmpty() && open) {
+            wantsToRead = false;
+            while (!inbound.isEmpty()) {
+                pipeline().fireChannelRead(Unpooled.wrappedBuffer(inbound.poll()));
+            }
+            pipeline().fireChannelReadComplete();
+        }
+        if (ended && inbound.isEmpty() && open) {
+            unsafe().close(unsafe().voidPromise());
+        }
+    }
+
+    // ---- From Netty ----
+
+    @Override protected AbstractUnsafe newUnsafe() {
+        return new AbstractUnsafe() {
+            @Override public void connect(SocketAddress to, SocketAddress from, ChannelPromise promise) {
+                if (!promise.setUncancellable() || !ensureOpen(promise)) {
+                    return;
+                }
+                remote = (InetSocketAddress) to;
+                patience = eventLoop().schedule(() -> {
+                    if (link == null && open && promise.tryFailure(new ConnectTimeoutException("timed out: " + to))) {
+                        close(voidPromise());
+                    }
+                }, config.getConnectTimeoutMillis(), TimeUnit.MILLISECONDS);
+                node.world.network.connect(node.party, node.address, remote, new Network.Connecting() {
+                    @Override public Network.End opened(Network.Link opened) {
+                        if (!open) {
+                            opened.close(null);
+                            return WireChannel.this;
+                        }
+                        link = opened;
+                        node.run(() -> {
+                            patience.cancel(false);
+                            if (open && promise.trySuccess()) {
+                                pipeline().fireChannelActive();
+                            }
+                        });
+                        return WireChannel.this;
+                    }
+
+                    @Override public void refused() {
+                        node.run(() -> {
+                            patience.cancel(false);
+                            if (promise.tryFailure(new ConnectException("refused: " + to))) {
+                                closeIfClosed();
+                                close(voidPromise());
+                            }
+                        });
+                    }
+                });
+            }
+        };
+    }
+
+    @Override protected boolean isCompatible(EventLoop loop) {
+        return true;
+    }
+
+    @Override protected SocketAddress localAddress0() {
+        return node.address;
+    }
+
+    @Override protected SocketAddress remoteAddress0() {
+        return remote;
+    }
+
+    @Override protected void doBind(SocketAddress at) { }
+
+    @Override protected void doDisconnect() {
+        doClose();
+    }
+
+    @Override protected void doClose() {
+        open = false;
+        if (patience != null) {
+            patience.cancel(false);
+        }
+        if (link != null) {
+            link.close(this);
+        }
+    }
+
+    @Override protected void doBeginRead() {
+        wantsToRead = true;
+        if (!inbound.isEmpty()) {
+            eventLoop().execute(this::deliver);
+        }
+    }
+
+    @Override protected void doWrite(ChannelOutboundBuffer out) {
+        for (Object message = out.current(); message != null; message = out.current()) {
+            byte[] bytes = ByteBufUtil.getBytes((ByteBuf) message);
+            if (bytes.length > 0 && !ended) {
+                link.send(this, bytes);
+            }
+            out.remove();
+        }
+    }
+
+    @Override public ChannelConfig config() {
+        return config;
+    }
+
+    @Override public boolean isOpen() {
+        return open;
+    }
+
+    @Override public boolean isActive() {
+        return open && link != null;
+    }
+
+    @Override public ChannelMetadata metadata() {
+        return METADATA;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/World.java
@@ -0,0 +1,130 @@
+package wrenreach.lab;
+
+import io.netty.util.concurrent.Ticker;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Virtual time: one thread plays everything that happens, in the order of its instants; the clock jumps from one to the
+ * next. Times in nanoseconds since the world's begin. All chance comes from one generator, so the same seed and build
+ * give the same log to the byte.
+ */
+final class World {
+    /** The wall's clock when a world begins, in milliseconds. */
+    static final long WALL = 1_800_000_000_000L;
+    private static final long BEGIN = 1_000_000_000L;
+
+    private record Due(long at, long order, Runnable work) { }
+
+    final Network network = new Network(this);
+    final List<LabNode> nodes = new ArrayList<>();
+    final List<Fact> facts = new ArrayList<>();
+    private final PriorityQueue<Due> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+            : Long.compare(a.order, b.order));
+    private final UniformRandomProvider random;
+    private final MessageDigest hash;
+    private long order;
+    private long now = BEGIN;
+    final Ticker ticker = new Ticker() {
+        @Override public long initialNanoTime() {
+            return BEGIN;
+        }
+
+        @Override public long nanoTime() {
+            return now;
+        }
+
+        @Override public void sleep(long delay, TimeUnit unit) {
+            throw new IllegalStateException("nothing sleeps in virtual time");
+        }
+    };
+
+    World(long seed) {
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        try {
+            hash = MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has SHA-256", e);
+        }
+    }
+
+    long now() {
+        return now;
+    }
+
+    /** Milliseconds of the wall's clock. */
+    long wallMillis() {
+        return WALL + now / 1_000_000;
+    }
+
+    boolean chance(double share) {
+        return random.nextDouble() < share;
+    }
+
+    /** A number from 0 to below the limit. */
+    int below(int limit) {
+        return random.nextInt(limit);
+    }
+
+    /** A time of an exponential distribution. */
+    long after(double mean) {
+        return (long) (-Math.log(1 - random.nextDouble()) * mean);
+    }
+
+    /** Has work done at that instant, or at the present one if it has passed. */
+    void at(long when, Runnable work) {
+        events.add(new Due(Math.max(when, now), order++, work));
+    }
+
+    void later(long delay, Runnable work) {
+        at(now + delay, work);
+    }
+
+    /** Puts a fact on record. */
+    void record(Fact fact) {
+        facts.add(fact);
+        hash.update((fact + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Plays until that instant. */
+    void play(long until) {
+        while (true) {
+            long next = events.isEmpty() ? Long.MAX_VALUE : events.peek().at;
+            LabNode first = null;
+            for (LabNode node : nodes) {
+                long due = node.dueAt();
+                if (due < next) {
+                    next = due;
+                    first = node;
+                }
+            }
+            if (next > until) {
+                now = Math.max(now, until);
+                return;
+            }
+            now = Math.max(now, next);
+            if (first != null) {
+                first.turn();
+            } else {
+                events.poll().work.run();
+            }
+        }
+    }
+
+    /** What stands for all facts so far. */
+    String print() {
+        try {
+            return HexFormat.of().formatHex(((MessageDigest) hash.clone()).digest());
+        } catch (CloneNotSupportedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/resources/META-INF/services/wrenreach.frame.Command
@@ -0,0 +1,1 @@
+wrenreach.lab.LabCommand
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -2,14 +2,13 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -101,14 +100,14 @@
     private long quietUntil;
 
     /** Times in microseconds; idleLimit: connections that may stand idle. */
-    public Calls(EventLoop loop, Host host, List<String> reportNames, long idleFor, long connectTimeout,
-                 int idleLimit) {
+    public Calls(EventLoop loop, ChannelFactory<? extends Channel> connecting, Host host, List<String> reportNames,
+                 long idleFor, long connectTimeout, int idleLimit) {
         this.loop = loop;
         this.host = host;
         this.codec = new CallCodec(reportNames);
         this.idleFor = idleFor > 0 ? (long) (idleFor * IDLE_PART) : Long.MAX_VALUE;
         this.idleLimit = idleLimit;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop).channelFactory(connecting)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         connectTimeout > 0 ? (int) Math.max(1, connectTimeout / 1000) : 30_000);
@@ -164,8 +163,8 @@
         Link link = new Link(pool);
         link.call = call;
         call.link = link;
-        ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
-            @Override protected void initChannel(SocketChannel channel) {
+        ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(link.start, new HttpObjectAggregator(BODY_LIMIT),
                         new HttpRequestEncoder(), link);
             }
--- a/node/src/main/java/wrenreach/net/Discovery.java
+++ b/node/src/main/java/wrenreach/net/Discovery.java
@@ -4,14 +4,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -69,13 +68,13 @@
     private boolean stopped;
 
     /** again: a broken watch is made anew at once, not only when asked for. */
-    public Discovery(EventLoop loop, Host host, InetSocketAddress address, long index, boolean again) {
+    public Discovery(EventLoop loop, ChannelFactory<? extends Channel> connecting, Host host, InetSocketAddress address, long index, boolean again) {
         this.loop = loop;
         this.host = host;
         this.address = address;
         this.index = index;
         this.again = again;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop).channelFactory(connecting)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_MS);
     }
@@ -87,8 +86,8 @@
             whole(true);
             return;
         }
-        ask("/api/targets?stream=1&index=" + index, true, new ChannelInitializer<SocketChannel>() {
-            @Override protected void initChannel(SocketChannel channel) {
+        ask("/api/targets?stream=1&index=" + index, true, new ChannelInitializer<Channel>() {
+            @Override protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
                         new HttpClientCodec(), new Contents(), new LineBasedFrameDecoder(LINE_LIMIT), new Lines());
             }
@@ -101,8 +100,8 @@
     }
 
     private void whole(boolean thenFollow) {
-        ask("/api/targets", thenFollow, new ChannelInitializer<SocketChannel>() {
-            @Override protected void initChannel(SocketChannel channel) {
+        ask("/api/targets", thenFollow, new ChannelInitializer<Channel>() {
+            @Override protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new ReadTimeoutHandler(WHOLE_MS, TimeUnit.MILLISECONDS),
                         new HttpClientCodec(), new HttpObjectAggregator(LINE_LIMIT), new Whole(thenFollow));
             }
@@ -131,7 +130,7 @@
         stopped = true;
     }
 
-    private void ask(String path, boolean watch, ChannelInitializer<SocketChannel> handlers) {
+    private void ask(String path, boolean watch, ChannelInitializer<Channel> handlers) {
         ChannelFuture opening = bootstrap.clone().handler(handlers).connect(address);
         Channel channel = opening.channel();
         open.add(channel);
--- a/node/src/main/java/wrenreach/net/Door.java
+++ b/node/src/main/java/wrenreach/net/Door.java
@@ -3,16 +3,16 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.redis.FixedRedisMessagePool;
 import io.netty.handler.codec.redis.RedisArrayAggregator;
@@ -69,6 +69,7 @@
     }
 
     private final EventLoopGroup loop;
+    private final ChannelFactory<? extends ServerChannel> listening;
     private final Host host;
     private final int limit;
     /** Those that never asked for anything, in the order they came. */
@@ -80,14 +81,15 @@
     private boolean closing;
 
     /** limit: client connections kept at once. */
-    public Door(EventLoopGroup loop, Host host, int limit) {
+    public Door(EventLoopGroup loop, ChannelFactory<? extends ServerChannel> listening, Host host, int limit) {
         this.loop = loop;
+        this.listening = listening;
         this.host = host;
         this.limit = Math.max(1, limit);
     }
 
     public ChannelFuture open(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(listening)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 // Guards clients behind a crowd that connects at once: a few looks take in all of them.
@@ -100,8 +102,8 @@
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(256, 1024, READ_LIMIT)
                                 .respectMaybeMoreData(false).maxMessagesPerRead(READS))
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override protected void initChannel(SocketChannel channel) {
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override protected void initChannel(Channel channel) {
                         Client client = new Client();
                         channel.pipeline().addLast(client.guard).addLast(codecs(BODY_LIMIT)).addLast(client);
                     }
@@ -119,6 +121,10 @@
             new RedisEncoder(), new ReplyEncoder()};
     }
 
+    private long nanos() {
+        return loop.next().ticker().nanoTime();
+    }
+
     /** Stops listening and closes each client once it has its answers. */
     public void close() {
         closing = true;
@@ -131,8 +137,8 @@
 
     /** Guards descriptors against clients that say nothing, half a request, or stay when they have what they want. */
     private void closeOverdue() {
-        long asksBy = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(REQUEST_MS);
-        long idleSince = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(IDLE_MS);
+        long asksBy = nanos() - TimeUnit.MILLISECONDS.toNanos(REQUEST_MS);
+        long idleSince = nanos() - TimeUnit.MILLISECONDS.toNanos(IDLE_MS);
         new ArrayList<>(silent).stream().filter(c -> c.since < asksBy).forEach(Client::giveUp);
         for (Client client : new ArrayList<>(clients)) {
             if (client.guard.midway() && client.guard.begun() < asksBy) {
@@ -173,8 +179,8 @@
         final UnfinishedGuard guard = new UnfinishedGuard(CLIENT_BYTES);
         private final List<Asked> open = new ArrayList<>(2);
         private ChannelHandlerContext ctx;
-        /** When it connected, or its last request was there or answered; by System.nanoTime. */
-        private long since = System.nanoTime();
+        /** When it connected, or its last request was there or answered; by the loop's ticker. */
+        private long since = nanos();
         private boolean closed;
         private boolean retiring;
 
@@ -193,7 +199,7 @@
             if (last) {
                 guard.stop();
             }
-            since = System.nanoTime();
+            since = nanos();
             retiring = false;
             silent.remove(this);
             clients.remove(this);
@@ -216,7 +222,7 @@
                 }
             }
             open.clear();
-            since = System.nanoTime();
+            since = nanos();
             if (!closed) {
                 ctx.flush();
             }
--- a/node/src/main/java/wrenreach/net/Notices.java
+++ b/node/src/main/java/wrenreach/net/Notices.java
@@ -5,14 +5,13 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -46,6 +45,7 @@
     private static final int BATCH = 200;
 
     private final EventLoop loop;
+    private final ChannelFactory<? extends Channel> connecting;
     private final Consumer<HeldMail> heard;
     private final Set<HeldMail> untold = new LinkedHashSet<>();
     private InetSocketAddress address;
@@ -56,8 +56,9 @@
     private Future<?> patience;
 
     /** heard: told of each mail whose notice was answered. */
-    public Notices(EventLoop loop, InetSocketAddress address, Consumer<HeldMail> heard) {
+    public Notices(EventLoop loop, ChannelFactory<? extends Channel> connecting, InetSocketAddress address, Consumer<HeldMail> heard) {
         this.loop = loop;
+        this.connecting = connecting;
         this.address = address;
         this.heard = heard;
     }
@@ -135,11 +136,11 @@
     private void open() {
         opening = true;
         InetSocketAddress to = address;
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        new Bootstrap().group(loop).channelFactory(connecting)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override protected void initChannel(SocketChannel fresh) {
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override protected void initChannel(Channel fresh) {
                         fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_LIMIT),
                                 new Answers());
                     }
--- /dev/null
+++ b/node/src/main/java/wrenreach/net/Sockets.java
@@ -0,0 +1,24 @@
+package wrenreach.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.function.LongSupplier;
+
+/**
+ * What a node's connections and times are made of: a group of one loop, whose ticker is the node's one monotonic time,
+ * the channels that listen and connect, and the wall's clock in milliseconds.
+ */
+public record Sockets(EventLoopGroup group, ChannelFactory<? extends ServerChannel> listening,
+                      ChannelFactory<? extends Channel> connecting, LongSupplier wallMillis) {
+    /** The machine's sockets and clocks. */
+    public static Sockets real() {
+        return new Sockets(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()), NioServerSocketChannel::new,
+                NioSocketChannel::new, System::currentTimeMillis);
+    }
+}
--- a/node/src/main/java/wrenreach/net/UnfinishedGuard.java
+++ b/node/src/main/java/wrenreach/net/UnfinishedGuard.java
@@ -21,7 +21,7 @@
         return unfinished > 0;
     }
 
-    /** When its first byte came; by System.nanoTime. */
+    /** When its first byte came; by the loop's ticker. */
     long begun() {
         return begun;
     }
@@ -41,7 +41,7 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        begun = unfinished == 0 ? System.nanoTime() : begun;
+        begun = unfinished == 0 ? ctx.executor().ticker().nanoTime() : begun;
         unfinished += ((ByteBuf) message).readableBytes();
         ctx.fireChannelRead(message);
         if (unfinished > limit && !stopped) {
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -3,8 +3,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -40,6 +38,7 @@
 import wrenreach.net.Notices;
 import wrenreach.net.Reply;
 import wrenreach.net.Request;
+import wrenreach.net.Sockets;
 import wrenreach.state.Connect;
 import wrenreach.state.Destination;
 import wrenreach.state.Directory;
@@ -67,9 +66,9 @@
     private final Config config;
     private final Settings settings;
     private final Dispatcher module;
-    private final Clock clock = new Clock();
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+    private final Clock clock;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
     private final Journal journal;
     private final Door door;
     private final Calls calls;
@@ -96,7 +95,16 @@
     private boolean doorOpen;
     private boolean sending = true;
 
+    /** A node on the machine's sockets; nothing is done before {@link #start}. */
     public DeliveryNode(Config config, Journal journal, Function<Settings, Dispatcher> module) {
+        this(config, journal, module, Sockets.real());
+    }
+
+    /** A node on other sockets and clocks; the group's loop owns it. */
+    public DeliveryNode(Config config, Journal journal, Function<Settings, Dispatcher> module, Sockets sockets) {
+        group = sockets.group();
+        loop = group.next();
+        clock = new Clock(loop.ticker(), sockets.wallMillis());
         this.config = config;
         this.journal = journal;
         settings = config.settings();
@@ -106,11 +114,12 @@
         int taken = OWN_DESCRIPTORS + settings.outLimit() + idle;
         // Guards memory against clients that all hand in large bodies at once: they share a part of it.
         long affordable = config.memoryBytes() / CLIENTS_PART / Door.CLIENT_BYTES;
-        door = new Door(group, this, (int) Math.min(affordable, config.descriptors() - taken));
-        calls = new Calls(loop, this, config.reportNames(), settings.connectionIdle(), settings.connectionTimeout(),
-                idle);
-        notices = new Notices(loop, config.discovery(), this::heard);
-        discovery = new Discovery(loop, this, config.discovery(), config.known().index(), !settings.listOnRequest());
+        door = new Door(group, sockets.listening(), this, (int) Math.min(affordable, config.descriptors() - taken));
+        calls = new Calls(loop, sockets.connecting(), this, config.reportNames(), settings.connectionIdle(),
+                settings.connectionTimeout(), idle);
+        notices = new Notices(loop, sockets.connecting(), config.discovery(), this::heard);
+        discovery = new Discovery(loop, sockets.connecting(), this, config.discovery(), config.known().index(),
+                !settings.listOnRequest());
     }
 
     public void start() {
--- a/node/src/test/java/wrenreach/net/CallsTest.java
+++ b/node/src/test/java/wrenreach/net/CallsTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -36,7 +37,7 @@
     private static final long SECOND = 1_000_000;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final Calls calls = new Calls(loop, this, List.of(), 60 * SECOND, SECOND, 4);
+    private final Calls calls = new Calls(loop, NioSocketChannel::new, this, List.of(), 60 * SECOND, SECOND, 4);
     private final Destination to = new Destination(1);
     private final Endpoint endpoint = new Endpoint(1, to, 0, 0);
     private final BlockingQueue<Outcome> ended = new LinkedBlockingQueue<>();
