--- a/lab/src/main/java/wrenreach/lab/LabCommand.java
+++ b/lab/src/main/java/wrenreach/lab/LabCommand.java
@@ -4,11 +4,17 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import wrenreach.Choice;
+import wrenreach.api.Dispatcher;
+import wrenreach.api.Settings;
 import wrenreach.frame.Command;
 
 /** wrenreach lab explore|replay: whole nodes in virtual time, judged by the rules. */
@@ -20,7 +26,8 @@
     @Override public List<String> usage() {
         return List.of("lab explore A..B [SECONDS] [FOLDER]   plays the days drawn from these seeds, for so long at most (60); what "
                 + "breaks a rule is cut down and kept in the folder (found)",
-                "lab replay FILE      plays a kept day again and prints its timeline");
+                "lab replay FILE      plays a kept day again and prints its timeline",
+                "lab compare FILE [SEEDS]   plays a day with so many seeds (9) by the module and by plain dispatchers");
     }
 
     @Override public int run(List<String> words, PrintStream out, PrintStream err) {
@@ -35,6 +42,9 @@
             } else if (words.size() == 2 && words.get(0).equals("replay")) {
                 return replay(Path.of(words.get(1)), out);
             }
+            if ((words.size() == 2 || words.size() == 3 && words.get(2).matches("[1-9]\\d{0,3}")) && words.get(0).equals("compare")) {
+                return compare(Path.of(words.get(1)), words.size() == 3 ? Integer.parseInt(words.get(2)) : 9, out);
+            }
             usage().forEach(line -> err.println("usage: wrenreach " + line));
             return 2;
         } catch (Scenario.Unreadable e) {
@@ -75,6 +85,30 @@
         return broken == 0 ? 0 : 1;
     }
 
+    private static int compare(Path file, int seeds, PrintStream out) throws IOException, Scenario.Unreadable {
+        Scenario scenario = Scenario.parse(Files.readAllLines(file));
+        Map<String, Function<Settings, Dispatcher>> all = new LinkedHashMap<>();
+        all.put("wrenreach", Choice::new);
+        all.put("one try", Baseline::oneTry);
+        all.put("fixed rests", Baseline::fixedRests);
+        out.println(Figures.head());
+        int ownBreaks = 0;
+        for (Map.Entry<String, Function<Settings, Dispatcher>> one : all.entrySet()) {
+            List<Figures> days = new ArrayList<>();
+            int broken = 0;
+            for (int i = 0; i < seeds; i++) {
+                Scenario day = new Scenario(scenario.seed() + i, scenario.nodes(), scenario.destinations(), scenario.endpoints(),
+                        scenario.rate(), scenario.lengthMs(), scenario.faults());
+                Play play = Play.of(day, one.getValue());
+                days.add(Figures.of(play.world.facts, play.settings.classes().get(0).targetDelay()));
+                broken += Rules.judge(day, play.world.facts, play.settings, play.world.now()).size();
+            }
+            out.println(Figures.together(days).line(one.getKey(), broken));
+            ownBreaks += one.getKey().equals("wrenreach") ? broken : 0;
+        }
+        return ownBreaks == 0 ? 0 : 1;
+    }
+
     private static int replay(Path file, PrintStream out) throws IOException, Scenario.Unreadable {
         Scenario scenario = Scenario.parse(Files.readAllLines(file));
         Play play = Play.of(scenario, Choice::new);
--- a/lab/src/test/java/wrenreach/lab/LabTest.java
+++ b/lab/src/test/java/wrenreach/lab/LabTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import wrenreach.Choice;
 import wrenreach.api.Answer;
 import wrenreach.api.Dispatcher;
@@ -170,6 +171,20 @@
         assertThat(caught).contains(wrong.rule);
     }
 
+    /** Plain dispatchers push a returning receiver over; the module does not, on the same days. */
+    @ParameterizedTest
+    @ValueSource(strings = {"one try", "fixed rests"})
+    void aReturningReceiverIsPushedOverByPlainDispatchersOnly(String name) throws Exception {
+        Function<Settings, Dispatcher> plain = name.equals("one try") ? Baseline::oneTry : Baseline::fixedRests;
+        int caught = 0;
+        for (int seed = 1; seed <= 3; seed++) {
+            Scenario day = Scenario.parse(List.of("seed " + seed, "rate 150", "length 10000", "fault down 0 at 2000 for 2500"));
+            caught += breaks(day, plain).stream().anyMatch(one -> one.rule() == Rules.Rule.PUSHED_OVER) ? 1 : 0;
+            assertThat(breaks(day, Choice::new)).isEmpty();
+        }
+        assertThat(caught).isEqualTo(3);
+    }
+
     /** Guards what is owed: killed at every write of a small day, in the middle of it and just after, nothing is lost. */
     @ParameterizedTest
     @EnumSource(value = LabNode.Moment.class, names = {"WRITTEN", "TORN"})
@@ -213,6 +228,8 @@
         assertThat(out.toString(StandardCharsets.UTF_8)).contains("fault full").contains("Delivered");
         assertThat(new LabCommand().run(List.of("explore", "1..5", "30", folder.toString()), print, print)).isZero();
         assertThat(out.toString(StandardCharsets.UTF_8)).contains("5 days played, 0 broke a rule");
+        assertThat(new LabCommand().run(List.of("compare", file.toString(), "2"), print, print)).isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("wrenreach  ").contains("one try").contains("fixed rests");
         assertThat(new LabCommand().run(List.of("explore", "1"), print, print)).isEqualTo(2);
         Files.writeString(file, "seed 1\nfault melt 1 at 2 for 3\n");
         assertThat(new LabCommand().run(List.of("replay", file.toString()), print, print)).isEqualTo(2);
