A reload leaves what needs a restart as it is; lost log lines are told

Cause, found by reading the change again: a subsystem was handed the whole new section, so lists took a new manifest path and new bounds at a reload while the log said they need a restart (WatchedLists.look reads them). Section.reloaded now mixes live keys of the newer with all others of the one in force. Lines lost by a stalled reader of the JSON log were counted but never shown: log.dropped tells how many once there is room.

--- a/app/src/main/java/wrenreach/app/Serve.java
+++ b/app/src/main/java/wrenreach/app/Serve.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger.Level;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import sun.misc.Signal;
@@ -37,6 +38,8 @@
     private final PrintStream err;
     /** As read last; null: there is none, and none of its classes is loaded. */
     private OperatorFile operator;
+    /** The sections that subsystems go by. */
+    private final Map<String, Record> inForce = new LinkedHashMap<>();
     private JsonLog json;
     private String name = "node";
 
@@ -135,6 +138,7 @@
             try {
                 Running<S> running = subsystem.start(section.get(), host);
                 node.add(named, running);
+                inForce.put(named, section.get());
             } catch (Subsystem.CantStart e) {
                 throw new Subsystem.CantStart(operatorFile + ": " + named + ": " + e.getMessage());
             }
@@ -162,7 +166,15 @@
         operator = newer;
         log(newer);
         for (Subsystem<?> subsystem : Parts.subsystems()) {
-            newer.section(subsystem.section()).ifPresent(section -> node.reloaded(subsystem.section().name(), section));
+            Record section = newer.section(subsystem.section()).orElse(null);
+            if (section != null) {
+                // What needs a restart stays as it is, also in part.
+                inForce.computeIfPresent(subsystem.section().name(), (named, was) -> {
+                    Record now = subsystem.section().reloaded(was, section);
+                    node.reloaded(named, now);
+                    return now;
+                });
+            }
         }
     }
 
--- a/log/src/main/java/wrenreach/log/JsonLog.java
+++ b/log/src/main/java/wrenreach/log/JsonLog.java
@@ -46,6 +46,8 @@
     private final AsyncAppender queue = new AsyncAppender();
     private final String node;
     private long dropped;
+    /** How many of those lost the log has told of. */
+    private long told;
 
     private JsonLog(String node, OutputStream out) {
         this.node = node;
@@ -117,6 +119,11 @@
                     dropped++;
                     return;
                 }
+                if (told < dropped) {
+                    log.atWarn().addKeyValue(EVENT, "log.dropped").addKeyValue("lines", dropped - told)
+                            .log("log: lines were lost, the reader of the log stood still");
+                    told = dropped;
+                }
             }
             var event = log.atLevel(level(record.getLevel())).setCause(record.getThrown());
             Object[] given = record.getParameters();
--- a/operator/src/main/java/wrenreach/operator/Section.java
+++ b/operator/src/main/java/wrenreach/operator/Section.java
@@ -166,6 +166,31 @@
         }
     }
 
+    /**
+     * The section that is in force after a reload: live keys as the newer one has them, all others as they were. Guards a
+     * subsystem against half a change; where the two don't go together, what was in force stays.
+     */
+    @SuppressWarnings("unchecked")
+    public S reloaded(Record inForce, Record newer) {
+        try {
+            RecordComponent[] components = type.getRecordComponents();
+            Object[] values = new Object[components.length];
+            Class<?>[] types = new Class<?>[components.length];
+            for (int i = 0; i < components.length; i++) {
+                components[i].getAccessor().setAccessible(true);
+                types[i] = components[i].getType();
+                values[i] = components[i].getAccessor().invoke(entry(components[i]).key.live() ? newer : inForce);
+            }
+            Constructor<S> constructor = type.getDeclaredConstructor(types);
+            constructor.setAccessible(true);
+            return constructor.newInstance(values);
+        } catch (InvocationTargetException e) {
+            return (S) inForce;
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** The value of a key, as it would stand in the file. */
     String written(Record section, Entry entry) {
         try {
--- a/operator/src/test/java/wrenreach/operator/OperatorFileTest.java
+++ b/operator/src/test/java/wrenreach/operator/OperatorFileTest.java
@@ -131,6 +131,10 @@
                 new OperatorFile.Change("sample.look_every", "\"2s\"", "\"3s\"", true),
                 new OperatorFile.Change("sample.folder", "\"f\"", "\"g\"", false),
                 new OperatorFile.Change("other", "off", "on", false));
+        Sample inForce = before.section(SAMPLE).orElseThrow();
+        Sample newer = parse("[sample]\nfolder='g'\nlook_every='3s'\ncount=4").section(SAMPLE).orElseThrow();
+        assertThat(SAMPLE.reloaded(inForce, newer)).isEqualTo(
+                new Sample(3_000_000, 65_536, 0.5, "all", Path.of("f"), List.of(), 3));
         assertThat(OperatorFile.none().changes(before)).containsExactly(
                 new OperatorFile.Change("sample", "off", "on", false));
         assertThat(before.changes(parse("[sample]\non=false\nfolder='f'"))).containsExactly(
