--- a/lab/src/main/java/wrenreach/lab/Baseline.java
+++ b/lab/src/main/java/wrenreach/lab/Baseline.java
@@ -2,13 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.Function;
+import wrenreach.Choice;
 import wrenreach.api.Answer;
 import wrenreach.api.Dispatcher;
 import wrenreach.api.Listing;
 import wrenreach.api.Outcome;
 import wrenreach.api.Settings;
+import wrenreach.state.Breaker;
 import wrenreach.state.Call;
 import wrenreach.state.Connect;
 import wrenreach.state.Destination;
@@ -18,13 +23,18 @@
 
 /**
  * A plain dispatcher to compare with, in the lab only: each mail goes out as it comes, to the endpoints of its
- * destination in turn; what fails goes again after a fixed rest, if at all. It has no breaker, no pace, no order and keeps
- * no wait. What may have run goes again only where mails may.
+ * destination in turn; what fails goes again after a fixed rest, if at all. It has no pace, no order, keeps no wait, and a
+ * breaker at most as the source has it. What may have run goes again only where mails may.
  */
 final class Baseline implements Dispatcher {
     private record Again(long at, Mail mail) { }
 
+    /** The source's figures: failures in a row that open, successes in a row that close. */
+    private static final int OPENS = 8, CLOSES = 2;
+
     private final Settings settings;
+    /** How long an open breaker rests, in microseconds; 0: there is none. */
+    private final long breakerRest;
     private final int tries;
     private final long rest;
     private final PriorityQueue<Again> resting = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
@@ -36,8 +46,9 @@
     private long wakeAt = Long.MIN_VALUE;
     private int out;
 
-    /** tries: connects that a mail may have; rest: microseconds between them. */
-    Baseline(Settings settings, int tries, long rest) {
+    /** tries: connects that a mail may have; rest: microseconds between them; breakerRest: 0 without a breaker. */
+    private Baseline(Settings settings, int tries, long rest, long breakerRest) {
+        this.breakerRest = breakerRest;
         this.settings = settings;
         this.tries = tries;
         this.rest = rest;
@@ -45,12 +56,71 @@
 
     /** One try a mail. */
     static Baseline oneTry(Settings settings) {
-        return new Baseline(settings, 1, 0);
+        return new Baseline(settings, 1, 0, 0);
     }
 
     /** As many tries as the settings allow, a quarter of the target delay apart. */
     static Baseline fixedRests(Settings settings) {
-        return new Baseline(settings, settings.connectLimit(), settings.classes().get(0).targetDelay() / 4);
+        return new Baseline(settings, settings.connectLimit(), settings.classes().get(0).targetDelay() / 4, 0);
+    }
+
+    /**
+     * The source's breaker as it stands there, over the retries: eight failures in a row open it, it rests, then lets one
+     * probe at a time through until two in a row succeed. Meanwhile mails wait. Its rest of 300 s would outlast every mail;
+     * here it is a quarter of the first class's lifetime.
+     */
+    static Baseline plainBreaker(Settings settings) {
+        return new Baseline(settings, settings.connectLimit(), settings.classes().get(0).targetDelay() / 4,
+                settings.classes().get(0).lifetime() / 4);
+    }
+
+    /** By the name that tables show; the module itself is among them. */
+    static Map<String, Function<Settings, Dispatcher>> all() {
+        Map<String, Function<Settings, Dispatcher>> all = new LinkedHashMap<>();
+        all.put("wrenreach", Choice::new);
+        all.put("one try", Baseline::oneTry);
+        all.put("fixed rests", Baseline::fixedRests);
+        all.put("plain breaker", Baseline::plainBreaker);
+        return all;
+    }
+
+    private boolean passes(Breaker breaker, long now) {
+        if (breaker.phase == Breaker.Phase.OPEN && now >= breaker.restsUntil) {
+            breaker.phase = Breaker.Phase.HALF_OPEN;
+            breaker.trialRun = 0;
+        }
+        return breakerRest == 0 || breaker.phase == Breaker.Phase.CLOSED
+                || breaker.phase == Breaker.Phase.HALF_OPEN && breaker.trial == null;
+    }
+
+    /** What a connect's end means to its breaker: told waits and what never came to be a call mean nothing. */
+    private void heard(Connect connect, Outcome outcome, long now) {
+        Breaker breaker = connect.endpoint.route.breaker;
+        boolean trial = breaker.trial == connect;
+        breaker.trial = trial ? null : breaker.trial;
+        boolean ok = outcome instanceof Outcome.Relayed;
+        if (breakerRest == 0 || outcome instanceof Outcome.Full || outcome instanceof Outcome.CalledOff
+                || outcome instanceof Outcome.NotSent) {
+            return;
+        }
+        if (breaker.phase == Breaker.Phase.HALF_OPEN) {
+            if (!ok) {
+                open(breaker, now);
+            } else if (++breaker.trialRun >= CLOSES) {
+                breaker.phase = Breaker.Phase.CLOSED;
+                breaker.failedRun = 0;
+            }
+        } else if (ok) {
+            breaker.failedRun = 0;
+        } else if (breaker.phase == Breaker.Phase.CLOSED && ++breaker.failedRun >= OPENS) {
+            open(breaker, now);
+        }
+    }
+
+    private void open(Breaker breaker, long now) {
+        breaker.phase = Breaker.Phase.OPEN;
+        breaker.restsUntil = now + breakerRest;
+        breaker.failedRun = 0;
     }
 
     @Override public List<Answer> admit(Mail mail, long now) {
@@ -64,6 +134,7 @@
         connect.open = false;
         connect.endpoint.out--;
         connect.neverRan = outcome.neverRan();
+        heard(connect, outcome, now);
         Mail mail = connect.mail;
         if (done || mail.over) {
             mail.over = true;
@@ -124,7 +195,7 @@
                 mails.remove();
                 end(mail, true);
             } else if (out < settings.outLimit()) {
-                Endpoint to = choose(mail.to);
+                Endpoint to = choose(mail.to, now);
                 if (to != null) {
                     mails.remove();
                     send(mail, to, now);
@@ -139,7 +210,10 @@
         return take();
     }
 
-    private Endpoint choose(Destination to) {
+    private Endpoint choose(Destination to, long now) {
+        if (!to.routes.isEmpty() && !passes(to.routes.get(0).breaker, now)) {
+            return null;
+        }
         List<Endpoint> ready = to.endpoints.stream().filter(e -> e.ready).toList();
         return ready.isEmpty() ? null : ready.get((int) (turns++ % ready.size()));
     }
@@ -148,6 +222,8 @@
         long cutAt = Math.min(mail.endsBy, now + settings.classes().get(mail.queueClass).targetDelay());
         Connect connect = new Connect(mail, to, now, cutAt, new Call(now));
         mail.connects.add(connect);
+        Breaker breaker = to.route.breaker;
+        breaker.trial = breaker.phase == Breaker.Phase.HALF_OPEN ? connect : breaker.trial;
         out++;
         to.out++;
         answers.add(new Answer.Send(connect));
--- a/lab/src/main/java/wrenreach/lab/Clients.java
+++ b/lab/src/main/java/wrenreach/lab/Clients.java
@@ -16,17 +16,20 @@
  */
 final class Clients {
     private static final long MS = 1_000_000, PATIENCE = 400 * MS, FRONT_NOTICES = 1500 * MS;
+    /** Keys a node: so that each of them has some. */
     private static final int KEYS = 20;
 
     private final class Mail {
         final String base;
+        final int queueClass;
         final int destination;
         final String key;
         final long until;
         int tries;
 
-        Mail(String base, int destination, String key, long until) {
+        Mail(String base, int queueClass, int destination, String key, long until) {
             this.base = base;
+            this.queueClass = queueClass;
             this.destination = destination;
             this.key = key;
             this.until = until;
@@ -35,20 +38,19 @@
 
     private final World world;
     private final int destinations;
-    private final String queueClass;
-    private final long lifetime;
+    private final List<Scenario.QueueClass> classes;
+    private final int shares;
     private final Network.Party party = new Network.Party("clients");
     private final Map<String, Deque<Mail>> keys = new HashMap<>();
     private final Map<String, Long> diedAt = new HashMap<>();
     private int made;
     private int port = 1024;
 
-    /** lifetime: nanoseconds that a mail may take. */
-    Clients(World world, int destinations, String queueClass, long lifetime) {
+    Clients(World world, int destinations, List<Scenario.QueueClass> classes) {
         this.world = world;
         this.destinations = destinations;
-        this.queueClass = queueClass;
-        this.lifetime = lifetime;
+        this.classes = classes;
+        shares = classes.stream().mapToInt(Scenario.QueueClass::share).sum();
     }
 
     /** Hands in mails at this rate (a second) until that instant. */
@@ -56,8 +58,10 @@
         long next = world.now() + world.after(1e9 / rate);
         if (next < until) {
             world.at(next, () -> {
-                String key = "k" + world.below(KEYS);
-                Mail mail = new Mail("m" + made++, world.below(destinations), key, world.now() + lifetime);
+                String key = "k" + world.below(KEYS * world.nodes.size());
+                int queueClass = drawClass();
+                Mail mail = new Mail("m" + made++, queueClass, world.below(destinations), key,
+                        world.now() + classes.get(queueClass).lifetimeMs() * MS);
                 Deque<Mail> line = keys.computeIfAbsent(key, k -> new ArrayDeque<>());
                 line.addLast(mail);
                 if (line.size() == 1) {
@@ -68,6 +72,15 @@
         }
     }
 
+    private int drawClass() {
+        int at = classes.size() > 1 ? world.below(shares) : 0;
+        int queueClass = 0;
+        while (at >= classes.get(queueClass).share()) {
+            at -= classes.get(queueClass++).share();
+        }
+        return queueClass;
+    }
+
     private LabNode choose(String key) {
         List<LabNode> known = new ArrayList<>();
         for (LabNode node : world.nodes) {
@@ -102,8 +115,8 @@
         }
         String id = mail.base + "." + mail.tries++;
         LabNode node = choose(mail.key);
-        world.record(new Fact.HandedIn(world.now(), id, node.name, mail.destination, mail.key, mail.base, mail.until));
-        String fields = "c=" + queueClass + ",t=shop,d=" + left + ",k=" + mail.base + ",dest=" + mail.destination
+        world.record(new Fact.HandedIn(world.now(), id, node.name, mail.queueClass, mail.destination, mail.key, mail.base, mail.until));
+        String fields = "c=" + classes.get(mail.queueClass).name() + ",t=shop,d=" + left + ",k=" + mail.base + ",dest=" + mail.destination
                 + (mail.tries > 1 ? ",r=1" : "");
         StringBuilder request = new StringBuilder("*5\r\n");
         for (String word : List.of("ENQUEUE", mail.key, id, fields, "body of " + id)) {
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/Experiment.java
@@ -0,0 +1,154 @@
+package wrenreach.lab;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import wrenreach.operator.Fault;
+import wrenreach.operator.Key;
+import wrenreach.operator.OperatorFile;
+import wrenreach.operator.Section;
+import wrenreach.operator.Unit;
+
+/** A file of an experiment: a fleet, its traffic, what goes wrong, a figure that is swept, seeds and dispatchers. */
+record Experiment(About about, Scenario scenario, Sweep sweep) {
+    /** [experiment]. */
+    record About(@Key(about = "what the experiment shows, in one line") String about,
+                 @Key(about = "days a point, each with a seed of its own", byDefault = "5", least = "1", most = "10000") int seeds,
+                 @Key(about = "the first seed", byDefault = "1", least = "0") long firstSeed,
+                 @Key(about = "what decides in the nodes", byDefault = "wrenreach") List<String> dispatchers) { }
+
+    /** [fleet]. */
+    record Fleet(@Key(about = "delivery nodes", byDefault = "3", least = "1", most = "2000") int nodes,
+                 @Key(about = "receivers that mails are for", byDefault = "3", least = "1", most = "2000") int destinations,
+                 @Key(about = "endpoints of each", byDefault = "1", least = "1", most = "64") int endpoints,
+                 @Key(about = "zones that nodes and endpoints are spread over", byDefault = "1", least = "1", most = "8")
+                 int zones) { }
+
+    /** [traffic]. */
+    record Traffic(@Key(about = "mails a second over all nodes", least = "1", most = "1000000") int rate,
+                   @Key(about = "for so long mails come", byDefault = "14s", unit = Unit.DURATION, least = "1s", most = "24h")
+                   long length,
+                   @Key(about = "queue classes: NAME EFFECT importance X target MS lifetime MS share N", byDefault = "")
+                   List<String> classes) { }
+
+    /** [faults]. */
+    record Schedule(@Key(about = "what goes wrong: KIND WHICH at MS for MS [every MS]", byDefault = "") List<String> schedule) { }
+
+    /** [sweep]. */
+    record Sweep(@Key(about = "what is swept; size multiplies nodes, destinations and rate", oneOf = {"size", "nodes",
+            "destinations", "endpoints", "zones", "rate", "length"}) String figure,
+                 @Key(about = "its values, the length in milliseconds") List<Integer> values) { }
+
+    /** An experiment's file can't be used; every fault is a line of the message. */
+    static final class Unusable extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Unusable(Path file, List<Fault> faults) {
+            super(String.join(System.lineSeparator(), faults.stream().sorted(Comparator.comparingInt(Fault::line))
+                    .map(fault -> fault.at(file)).toList()));
+        }
+    }
+
+    private static final Section<About> ABOUT = new Section<>("experiment", About.class);
+    private static final Section<Fleet> FLEET = new Section<>("fleet", Fleet.class);
+    private static final Section<Traffic> TRAFFIC = new Section<>("traffic", Traffic.class);
+    private static final Section<Schedule> FAULTS = new Section<>("faults", Schedule.class);
+    private static final Section<Sweep> SWEEP = new Section<>("sweep", Sweep.class);
+    private static final String SIZE = "size";
+
+    static Experiment read(Path file) throws IOException, Unusable {
+        byte[] bytes = Files.readAllBytes(file);
+        String text = new String(bytes, StandardCharsets.UTF_8);
+        List<Fault> faults = new ArrayList<>();
+        OperatorFile read = null;
+        try {
+            read = OperatorFile.parse(file, bytes, List.of(ABOUT, FLEET, TRAFFIC, FAULTS, SWEEP));
+        } catch (OperatorFile.Unusable e) {
+            faults.addAll(e.faults());
+        }
+        List<Scenario.QueueClass> classes = new ArrayList<>();
+        List<Scenario.Fault> schedule = new ArrayList<>();
+        try {
+            JsonNode tree = new TomlMapper().readTree(text);
+            for (String table : List.of("experiment", "fleet", "traffic")) {
+                if (!tree.path(table).isObject()) {
+                    faults.add(new Fault(0, table, "is missing: [" + table + "]"));
+                }
+            }
+            int length = read == null ? Scenario.Figure.LENGTH.byDefault : lengthMs(read);
+            each(tree, text, "traffic", "classes", faults, one -> classes.add(Scenario.queueClass(one)));
+            each(tree, text, "faults", "schedule", faults, one -> schedule.addAll(Scenario.faults(one, length)));
+            each(tree, text, "experiment", "dispatchers", faults, one -> {
+                if (!Baseline.all().containsKey(one)) {
+                    throw new IllegalArgumentException(one + " is not known: there are " + String.join(", ",
+                            Baseline.all().keySet()));
+                }
+            });
+        } catch (JsonProcessingException e) {
+            // That the file is no TOML has been told above.
+            throw new Unusable(file, faults);
+        }
+        if (!faults.isEmpty()) {
+            throw new Unusable(file, faults);
+        }
+        About about = read.section(ABOUT).orElseThrow();
+        Fleet fleet = read.section(FLEET).orElseThrow();
+        Map<Scenario.Figure, Integer> figures = new EnumMap<>(Scenario.Figure.class);
+        figures.put(Scenario.Figure.NODES, fleet.nodes);
+        figures.put(Scenario.Figure.DESTINATIONS, fleet.destinations);
+        figures.put(Scenario.Figure.ENDPOINTS, fleet.endpoints);
+        figures.put(Scenario.Figure.ZONES, fleet.zones);
+        figures.put(Scenario.Figure.RATE, read.section(TRAFFIC).orElseThrow().rate);
+        figures.put(Scenario.Figure.LENGTH, lengthMs(read));
+        schedule.sort(Comparator.comparingInt(Scenario.Fault::atMs));
+        Sweep sweep = read.section(SWEEP).orElse(new Sweep(SIZE, List.of(1)));
+        if (sweep.values.isEmpty() || sweep.values.stream().anyMatch(value -> value < 1 || value > 100_000_000)) {
+            throw new Unusable(file, List.of(new Fault(line(text, "values"), "sweep.values", "is a list of numbers of at least 1")));
+        }
+        return new Experiment(about, new Scenario(about.firstSeed, figures, classes, schedule), sweep);
+    }
+
+    private static int lengthMs(OperatorFile read) {
+        return read.section(TRAFFIC).map(traffic -> (int) (traffic.length / 1000)).orElse(Scenario.Figure.LENGTH.byDefault);
+    }
+
+    /** Each text of a list by itself, so that one fault does not hide the next. */
+    private static void each(JsonNode tree, String text, String table, String key, List<Fault> faults, Consumer<String> takes) {
+        for (JsonNode one : tree.path(table).path(key)) {
+            try {
+                if (one.isTextual()) {
+                    takes.accept(one.textValue());
+                }
+            } catch (IllegalArgumentException e) {
+                faults.add(new Fault(line(text, one.textValue()), table + "." + key, e.getMessage()));
+            }
+        }
+    }
+
+    private static int line(String text, String part) {
+        int at = text.indexOf(part);
+        return at < 0 ? 0 : 1 + (int) text.substring(0, at).chars().filter(c -> c == '\n').count();
+    }
+
+    /** The day at one value of the sweep, with its n-th seed. */
+    Scenario at(int value, int n) {
+        Scenario day = scenario.withSeed(about.firstSeed + n);
+        if (!sweep.figure.equals(SIZE)) {
+            return day.with(Scenario.named(Scenario.Figure.values(), sweep.figure), value);
+        }
+        for (Scenario.Figure figure : List.of(Scenario.Figure.NODES, Scenario.Figure.DESTINATIONS, Scenario.Figure.RATE)) {
+            day = day.with(figure, Math.multiplyExact(value, scenario.figures().get(figure)));
+        }
+        return day;
+    }
+}
--- a/lab/src/main/java/wrenreach/lab/Explore.java
+++ b/lab/src/main/java/wrenreach/lab/Explore.java
@@ -49,20 +49,24 @@
             fewer.remove(i);
             all.add(s.with(fewer));
         }
-        if (s.nodes() > 1) {
-            all.add(new Scenario(s.seed(), s.nodes() - 1, s.destinations(), s.endpoints(), s.rate(), s.lengthMs(), s.faults()));
+        for (int i = 0; s.classes().size() > 1 && i < s.classes().size(); i++) {
+            List<Scenario.QueueClass> fewer = new ArrayList<>(s.classes());
+            fewer.remove(i);
+            all.add(new Scenario(s.seed(), s.figures(), fewer, s.faults()));
         }
-        if (s.destinations() > 1) {
-            all.add(new Scenario(s.seed(), s.nodes(), 1, s.endpoints(), s.rate(), s.lengthMs(), s.faults()));
+        if (s.nodes() > 1) {
+            all.add(s.with(Scenario.Figure.NODES, s.nodes() - 1));
         }
-        if (s.endpoints() > 1) {
-            all.add(new Scenario(s.seed(), s.nodes(), s.destinations(), 1, s.rate(), s.lengthMs(), s.faults()));
+        for (Scenario.Figure figure : List.of(Scenario.Figure.DESTINATIONS, Scenario.Figure.ENDPOINTS, Scenario.Figure.ZONES)) {
+            if (s.figures().get(figure) > 1) {
+                all.add(s.with(figure, 1));
+            }
         }
         if (s.rate() > 4) {
-            all.add(new Scenario(s.seed(), s.nodes(), s.destinations(), s.endpoints(), s.rate() / 2, s.lengthMs(), s.faults()));
+            all.add(s.with(Scenario.Figure.RATE, s.rate() / 2));
         }
         if (s.lengthMs() > 2000) {
-            all.add(new Scenario(s.seed(), s.nodes(), s.destinations(), s.endpoints(), s.rate(), s.lengthMs() * 3 / 4, s.faults()));
+            all.add(s.with(Scenario.Figure.LENGTH, s.lengthMs() * 3 / 4));
         }
         return all;
     }
--- a/lab/src/main/java/wrenreach/lab/Fact.java
+++ b/lab/src/main/java/wrenreach/lab/Fact.java
@@ -1,13 +1,18 @@
 package wrenreach.lab;
 
 import java.util.Locale;
+import wrenreach.state.Breaker;
 
 /** What happened in a world, as its own parties saw it; at: nanoseconds since its begin. */
 sealed interface Fact {
     long at();
 
-    /** A client handed in a mail. key: that of its order; tag: what stands for its effect; until: end of its time. */
-    record HandedIn(long at, String id, String node, int destination, String key, String tag, long until) implements Fact { }
+    /**
+     * A client handed in a mail. queueClass: the number of its class; key: that of its order; tag: what stands for its effect;
+     * until: end of its time.
+     */
+    record HandedIn(long at, String id, String node, int queueClass, int destination, String key, String tag, long until)
+            implements Fact { }
 
     /** What the node answered: OK, BUSY or ERR; or NONE, when the client gave up. */
     record Answered(long at, String id, String node, String answer) implements Fact { }
@@ -38,6 +43,9 @@
 
     record Serves(long at, String node) implements Fact { }
 
+    /** A node's breaker went into this phase; only reports go by it, no rule does. */
+    record Turned(long at, String node, String route, Breaker.Phase phase) implements Fact { }
+
     /** A receiver was gone and is back, cold; a receiver was pushed over: more came than it could bear. */
     record Back(long at, String receiver) implements Fact { }
 
--- a/lab/src/main/java/wrenreach/lab/Figures.java
+++ b/lab/src/main/java/wrenreach/lab/Figures.java
@@ -1,70 +1,122 @@
 package wrenreach.lab;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.HdrHistogram.Histogram;
+import wrenreach.api.Settings;
+import wrenreach.state.Breaker;
 
 /**
- * What came of a played day, by mails as their writers know them: a mail handed in again counts once. Delays run from the
- * first time that it was handed in to its delivery, in milliseconds; callsAMail: calls that came to receivers.
+ * What came of played days, by mails as their writers know them: a mail handed in again counts once. importance: that of
+ * the mails handed in; delivered importance: what of it was worth at its delivery. Delays run from the instant at which the
+ * writer had the mail ready, whatever became of those before, to its delivery, in microseconds.
  */
-record Figures(int mails, int delivered, int inTime, long median, long p99, double callsAMail) {
-    private static final long MS = 1_000_000;
+record Figures(int mails, int delivered, int inTime, double importance, double deliveredImportance, int calls, int broken,
+               Histogram delays, List<Point> breakers) {
+    /** How many breakers were not closed from that instant on, in nanoseconds since the world's begin. */
+    record Point(long at, int open, int halfOpen) { }
 
-    /** targetDelay: in microseconds, as the settings have it. */
-    static Figures of(List<Fact> facts, long targetDelay) {
-        Map<String, Long> first = new HashMap<>();
-        Map<String, String> mailOf = new HashMap<>();
+    /** An hour, to a thousandth. */
+    static Histogram histogram() {
+        return new Histogram(3_600_000_000L, 3);
+    }
+
+    static Figures of(List<Fact> facts, Settings settings, int broken) {
+        Map<String, Fact.HandedIn> first = new HashMap<>();
+        Map<String, Fact.HandedIn> mailOf = new HashMap<>();
+        Map<String, Breaker.Phase> phases = new HashMap<>();
         Set<String> done = new HashSet<>();
-        List<Long> delays = new ArrayList<>();
+        List<Point> breakers = new ArrayList<>();
+        Histogram delays = histogram();
         int calls = 0;
         int inTime = 0;
+        int open = 0;
+        int halfOpen = 0;
+        double importance = 0;
+        double worth = 0;
         for (Fact fact : facts) {
             if (fact instanceof Fact.HandedIn in) {
-                first.putIfAbsent(in.tag(), in.at());
-                mailOf.put(in.id(), in.tag());
+                if (first.putIfAbsent(in.tag(), in) == null) {
+                    importance += settings.classes().get(in.queueClass()).importance();
+                }
+                mailOf.put(in.id(), first.get(in.tag()));
             } else if (fact instanceof Fact.Called) {
                 calls++;
-            } else if (fact instanceof Fact.Delivered delivered && done.add(mailOf.get(delivered.id()))) {
-                long delay = delivered.at() - first.get(mailOf.get(delivered.id()));
-                delays.add(delay / MS);
-                inTime += delay <= 1000 * targetDelay ? 1 : 0;
+            } else if (fact instanceof Fact.Delivered delivered && mailOf.containsKey(delivered.id())
+                    && done.add(mailOf.get(delivered.id()).tag())) {
+                Fact.HandedIn mail = mailOf.get(delivered.id());
+                long delay = Math.max(0, (delivered.at() - mail.at()) / 1000);
+                delays.recordValue(Math.min(delay, delays.getHighestTrackableValue()));
+                Settings.QueueClass queueClass = settings.classes().get(mail.queueClass());
+                inTime += delay <= queueClass.targetDelay() ? 1 : 0;
+                worth += worth(queueClass, delay);
+            } else if (fact instanceof Fact.Turned turned) {
+                Breaker.Phase was = phases.put(turned.node() + "/" + turned.route(), turned.phase());
+                open += count(turned.phase(), Breaker.Phase.OPEN) - count(was, Breaker.Phase.OPEN);
+                halfOpen += count(turned.phase(), Breaker.Phase.HALF_OPEN) - count(was, Breaker.Phase.HALF_OPEN);
+                breakers.add(new Point(turned.at(), open, halfOpen));
             }
         }
-        long[] sorted = delays.stream().mapToLong(d -> d).sorted().toArray();
-        return new Figures(first.size(), sorted.length, inTime, at(sorted, 0.5), at(sorted, 0.99),
-                first.isEmpty() ? 0 : (double) calls / first.size());
+        return new Figures(first.size(), done.size(), inTime, importance, worth, calls, broken, delays, breakers);
+    }
+
+    private static int count(Breaker.Phase is, Breaker.Phase asked) {
+        return is == asked ? 1 : 0;
     }
 
-    private static long at(long[] sorted, double share) {
-        return sorted.length == 0 ? 0 : sorted[(int) Math.min(sorted.length - 1, Math.floor(share * sorted.length))];
+    /** What a mail is worth that is delivered so late: its importance up to the target, then evenly less up to its lifetime. */
+    static double worth(Settings.QueueClass c, long delay) {
+        double late = c.lifetime() == c.targetDelay() ? 1 : Math.max(0, delay - c.targetDelay())
+                / (double) (c.lifetime() - c.targetDelay());
+        return c.importance() * (1 - (1 - c.lateShare()) * Math.min(1, late));
     }
 
-    /** Several days as one; percentiles are the medians of the days'. */
+    /** Several days as one; the breakers are those of the first. */
     static Figures together(List<Figures> days) {
-        long[] medians = days.stream().mapToLong(Figures::median).toArray();
-        long[] p99s = days.stream().mapToLong(Figures::p99).toArray();
-        Arrays.sort(medians);
-        Arrays.sort(p99s);
-        int mails = days.stream().mapToInt(Figures::mails).sum();
-        return new Figures(mails, days.stream().mapToInt(Figures::delivered).sum(), days.stream().mapToInt(Figures::inTime).sum(),
-                at(medians, 0.5), at(p99s, 0.5), days.stream().mapToDouble(f -> f.callsAMail * f.mails).sum() / Math.max(1, mails));
+        Histogram delays = histogram();
+        days.forEach(day -> delays.add(day.delays));
+        return new Figures(days.stream().mapToInt(Figures::mails).sum(), days.stream().mapToInt(Figures::delivered).sum(),
+                days.stream().mapToInt(Figures::inTime).sum(), days.stream().mapToDouble(Figures::importance).sum(),
+                days.stream().mapToDouble(Figures::deliveredImportance).sum(), days.stream().mapToInt(Figures::calls).sum(),
+                days.stream().mapToInt(Figures::broken).sum(), delays, days.get(0).breakers);
+    }
+
+    double deliveredShare() {
+        return delivered / (double) Math.max(1, mails);
+    }
+
+    double inTimeShare() {
+        return inTime / (double) Math.max(1, mails);
+    }
+
+    /** Of the importance handed in, what was delivered. */
+    double importanceShare() {
+        return importance == 0 ? 0 : deliveredImportance / importance;
+    }
+
+    double triesAMail() {
+        return calls / (double) Math.max(1, mails);
+    }
+
+    /** A percentile of the delays in milliseconds. */
+    double delayMs(double percentile) {
+        return delays.getValueAtPercentile(percentile) / 1000.0;
     }
 
     /** One line of a table. */
-    String line(String name, int broken) {
-        return String.format(Locale.ROOT, "%-14s %6d %9.1f%% %9.1f%% %8d %8d %9.2f %7d", name, mails,
-                100.0 * delivered / Math.max(1, mails), 100.0 * inTime / Math.max(1, mails), median, p99, callsAMail, broken);
+    String line(String name) {
+        return String.format(Locale.ROOT, "%-26s %7d %9.1f%% %9.1f%% %9.1f%% %9.1f %9.1f %9.2f %7d", name, mails,
+                100 * deliveredShare(), 100 * inTimeShare(), 100 * importanceShare(), delayMs(50), delayMs(99), triesAMail(), broken);
     }
 
     /** The head of such a table. */
-    static String head() {
-        return String.format(Locale.ROOT, "%-14s %6s %10s %10s %8s %8s %9s %7s", "emulated", "mails", "delivered", "in time",
-                "p50 ms", "p99 ms", "calls/mail", "breaks");
+    static String head(String kind) {
+        return String.format(Locale.ROOT, "%-26s %7s %10s %10s %10s %9s %9s %9s %7s", kind, "mails", "delivered", "in time",
+                "importance", "p50 ms", "p99 ms", "calls", "breaks");
     }
 }
--- a/lab/src/main/java/wrenreach/lab/LabCommand.java
+++ b/lab/src/main/java/wrenreach/lab/LabCommand.java
@@ -5,116 +5,193 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
-import java.util.function.Function;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import wrenreach.Choice;
-import wrenreach.api.Dispatcher;
-import wrenreach.api.Settings;
 import wrenreach.frame.Command;
+import wrenreach.operator.Unit;
 
-/** wrenreach lab explore|replay: whole nodes in virtual time, judged by the rules. */
+/** wrenreach lab: whole nodes in virtual time, judged by the rules, and experiments with them. */
 public final class LabCommand implements Command {
     @Override public String name() {
         return "lab";
     }
 
     @Override public List<String> usage() {
-        return List.of("lab explore A..B [SECONDS] [FOLDER]   plays the days drawn from these seeds, for so long at most (60); what "
-                + "breaks a rule is cut down and kept in the folder (found)",
-                "lab replay FILE      plays a kept day again and prints its timeline",
-                "lab compare FILE [SEEDS]   plays a day with so many seeds (9) by the module and by plain dispatchers");
+        return List.of("lab run EXPERIMENT.toml --out DIR [--jobs N]   plays an experiment; DIR gets its figures and report.html",
+                "lab beside DIR DIR --out FILE.html   lays two runs side by side",
+                "lab explore --seeds A..B [--for 60s] [--out found] [--jobs N]   plays the days drawn from these seeds; what breaks a "
+                + "rule is cut down and kept in the folder",
+                "lab replay FILE      plays a kept day again and prints its timeline");
     }
 
     @Override public int run(List<String> words, PrintStream out, PrintStream err) {
+        // Thousands of nodes start and stop here: what each says for staff is no news.
+        Logger.getLogger("").setLevel(Level.OFF);
+        Options known = new Options();
+        for (String option : List.of("out", "jobs", "seeds", "for")) {
+            known.addOption(Option.builder().longOpt(option).hasArg().get());
+        }
         try {
-            // Thousands of nodes start and stop here: what each says for staff is no news.
-            Logger.getLogger("").setLevel(Level.OFF);
-            if (words.size() >= 2 && words.size() <= 4 && words.get(0).equals("explore")
-                    && words.get(1).matches("\\d{1,9}\\.\\.\\d{1,9}") && (words.size() < 3 || words.get(2).matches("\\d{1,6}"))) {
-                String[] seeds = words.get(1).split("\\.\\.");
-                return explore(Long.parseLong(seeds[0]), Long.parseLong(seeds[1]),
-                        words.size() > 2 ? Integer.parseInt(words.get(2)) : 60, Path.of(words.size() > 3 ? words.get(3) : "found"), out);
-            } else if (words.size() == 2 && words.get(0).equals("replay")) {
-                return replay(Path.of(words.get(1)), out);
-            }
-            if ((words.size() == 2 || words.size() == 3 && words.get(2).matches("[1-9]\\d{0,3}")) && words.get(0).equals("compare")) {
-                return compare(Path.of(words.get(1)), words.size() == 3 ? Integer.parseInt(words.get(2)) : 9, out);
+            CommandLine line = new DefaultParser().parse(known, words.toArray(String[]::new));
+            List<String> args = line.getArgList();
+            String what = args.isEmpty() ? "" : args.get(0);
+            int jobs = number(line.getOptionValue("jobs", Integer.toString(Runtime.getRuntime().availableProcessors())));
+            if (what.equals("run") && args.size() == 2 && line.hasOption("out")) {
+                return experiment(Path.of(args.get(1)), Path.of(line.getOptionValue("out")), jobs, out, err);
+            } else if (what.equals("beside") && args.size() == 3 && line.hasOption("out")) {
+                return beside(Path.of(args.get(1)), Path.of(args.get(2)), Path.of(line.getOptionValue("out")), out);
+            } else if (what.equals("explore") && args.size() == 1 && line.getOptionValue("seeds", "").matches("\\d{1,9}\\.\\.\\d{1,9}")) {
+                String[] seeds = line.getOptionValue("seeds").split("\\.\\.");
+                return new Exploring(Path.of(line.getOptionValue("out", "found")), out).explore(Long.parseLong(seeds[0]),
+                        Long.parseLong(seeds[1]), 1000 * Unit.DURATION.read(line.getOptionValue("for", "60s")), jobs);
+            } else if (what.equals("replay") && args.size() == 2) {
+                return replay(Path.of(args.get(1)), out, err);
             }
-            usage().forEach(line -> err.println("usage: wrenreach " + line));
-            return 2;
-        } catch (Scenario.Unreadable e) {
-            err.println(words.get(1) + ": " + e.getMessage());
+            throw new ParseException(what.isEmpty() ? "lab: what is to be done?" : "lab " + what + ": not so");
+        } catch (ParseException | IllegalArgumentException e) {
+            err.println("wrenreach: " + e.getMessage());
+            usage().forEach(use -> err.println("usage: wrenreach " + use));
             return 2;
         } catch (IOException e) {
             err.println("wrenreach: " + e);
             return 1;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 1;
         }
     }
 
-    private static int explore(long from, long to, int seconds, Path folder, PrintStream out) throws IOException {
-        Explore explore = new Explore(Choice::new);
-        long begin = System.nanoTime();
-        long emulated = 0;
-        int played = 0;
-        int broken = 0;
-        for (long seed = from; seed <= to && System.nanoTime() - begin < seconds * 1_000_000_000L; seed++) {
-            Scenario scenario = Scenario.drawn(seed);
-            Play play = Play.of(scenario, Choice::new);
-            played++;
-            emulated += play.world.now();
-            List<Rules.Break> breaks = Rules.judge(scenario, play.world.facts, play.settings, play.world.now());
-            if (!breaks.isEmpty()) {
-                broken++;
-                Rules.Rule rule = breaks.get(0).rule();
-                Scenario least = explore.shrink(scenario, rule);
-                Files.createDirectories(folder);
-                Path file = folder.resolve(rule.name().toLowerCase(Locale.ROOT) + "-" + seed + ".day");
-                Files.writeString(file, "# " + breaks.get(0).what() + System.lineSeparator() + least.text());
-                out.printf("seed %d breaks %s: %s; kept as %s with %d faults%n", seed, rule, breaks.get(0).what(), file,
-                        least.faults().size());
+    private static int number(String text) {
+        if (!text.matches("[1-9]\\d{0,2}")) {
+            throw new IllegalArgumentException("--jobs is a number from 1 to 999, not " + text);
+        }
+        return Integer.parseInt(text);
+    }
+
+    private static int experiment(Path file, Path folder, int jobs, PrintStream out, PrintStream err)
+            throws IOException, InterruptedException {
+        Experiment experiment;
+        try {
+            experiment = Experiment.read(file);
+        } catch (Experiment.Unusable e) {
+            err.println(e.getMessage());
+            return 2;
+        } catch (IOException e) {
+            err.println("wrenreach: " + file + " can't be read: " + e);
+            return 2;
+        }
+        int count = experiment.sweep().values().size() * experiment.about().dispatchers().size() * experiment.about().seeds();
+        try (RunFiles files = new RunFiles(folder)) {
+            boolean shown = System.console() != null;
+            List<Trials.Trial> trials = Trials.play(experiment, jobs, done -> {
+                if (shown) {
+                    err.printf("\r%d of %d days played%s", done, count, done == count ? "\n" : "");
+                    err.flush();
+                }
+            });
+            files.write(experiment, trials);
+            out.println(experiment.about().about());
+            out.println(Figures.head("emulated, " + experiment.sweep().figure()));
+            Trials.together(trials).forEach((value, byDispatcher) -> byDispatcher.forEach((dispatcher, figures) ->
+                    out.println(figures.line(value + " " + dispatcher))));
+            int own = 0;
+            for (Trials.Trial trial : trials) {
+                if (trial.dispatcher().equals("wrenreach")) {
+                    trial.breaks().forEach(one -> out.println("seed " + trial.seed() + " breaks " + one.rule() + ": " + one.what()));
+                    own += trial.breaks().size();
+                }
             }
+            out.println("report: " + folder.resolve("report.html"));
+            out.println(Trials.print(trials));
+            return own == 0 ? 0 : 1;
         }
-        double took = (System.nanoTime() - begin) / 1e9;
-        out.printf(Locale.ROOT, "%d days played, %d broke a rule; %.0f emulated seconds in %.1f s, %.0f days an hour%n", played,
-                broken, emulated / 1e9, took, played / took * 3600);
-        return broken == 0 ? 0 : 1;
     }
 
-    private static int compare(Path file, int seeds, PrintStream out) throws IOException, Scenario.Unreadable {
-        Scenario scenario = Scenario.parse(Files.readAllLines(file));
-        Map<String, Function<Settings, Dispatcher>> all = new LinkedHashMap<>();
-        all.put("wrenreach", Choice::new);
-        all.put("one try", Baseline::oneTry);
-        all.put("fixed rests", Baseline::fixedRests);
-        out.println(Figures.head());
-        int ownBreaks = 0;
-        for (Map.Entry<String, Function<Settings, Dispatcher>> one : all.entrySet()) {
-            List<Figures> days = new ArrayList<>();
+    private static int beside(Path left, Path right, Path file, PrintStream out) throws IOException {
+        String page = new Report().page(left.toString(), RunFiles.read(left), right.toString(), RunFiles.read(right));
+        Files.writeString(file, page);
+        out.println("report: " + file);
+        return 0;
+    }
+
+    /** Plays drawn days beside each other, and tells of them in the order of their seeds. */
+    private record Exploring(Path folder, PrintStream out) {
+        private record Day(Scenario scenario, List<Rules.Break> breaks, long emulated) { }
+
+        int explore(long from, long to, long nanos, int jobs) throws IOException, InterruptedException {
+            Files.createDirectories(folder);
+            ExecutorService pool = Executors.newFixedThreadPool(jobs);
+            long begin = System.nanoTime();
+            long emulated = 0;
+            int played = 0;
             int broken = 0;
-            for (int i = 0; i < seeds; i++) {
-                Scenario day = new Scenario(scenario.seed() + i, scenario.nodes(), scenario.destinations(), scenario.endpoints(),
-                        scenario.rate(), scenario.lengthMs(), scenario.faults());
-                Play play = Play.of(day, one.getValue());
-                days.add(Figures.of(play.world.facts, play.settings.classes().get(0).targetDelay()));
-                broken += Rules.judge(day, play.world.facts, play.settings, play.world.now()).size();
+            try {
+                for (long seed = from; seed <= to && System.nanoTime() - begin < nanos; seed += 4L * jobs) {
+                    List<Future<Day>> under = new ArrayList<>();
+                    for (long one = seed; one <= to && one < seed + 4L * jobs; one++) {
+                        Scenario scenario = Scenario.drawn(one);
+                        under.add(pool.submit(() -> played(scenario)));
+                    }
+                    for (Future<Day> one : under) {
+                        Day day = one.get();
+                        played++;
+                        emulated += day.emulated;
+                        if (!day.breaks.isEmpty()) {
+                            broken++;
+                            keep(day);
+                        }
+                    }
+                }
+            } catch (ExecutionException e) {
+                throw new IllegalStateException(e.getCause());
+            } finally {
+                pool.shutdownNow();
             }
-            out.println(Figures.together(days).line(one.getKey(), broken));
-            ownBreaks += one.getKey().equals("wrenreach") ? broken : 0;
+            double took = (System.nanoTime() - begin) / 1e9;
+            out.printf(Locale.ROOT, "%d days played, %d broke a rule; %.0f emulated seconds in %.1f s, %.0f days an hour%n", played,
+                    broken, emulated / 1e9, took, played / took * 3600);
+            return broken == 0 ? 0 : 1;
+        }
+
+        private static Day played(Scenario scenario) {
+            Play play = Play.of(scenario, Choice::new);
+            return new Day(scenario, Rules.judge(scenario, play.world.facts, play.settings, play.world.now()), play.world.now());
+        }
+
+        private void keep(Day day) throws IOException {
+            Rules.Break first = day.breaks.get(0);
+            Scenario least = new Explore(Choice::new).shrink(day.scenario, first.rule());
+            Path file = folder.resolve(first.rule().name().toLowerCase(Locale.ROOT) + "-" + day.scenario.seed() + ".day");
+            Files.writeString(file, "# " + first.what() + System.lineSeparator() + least.text());
+            out.printf("seed %d breaks %s: %s; kept as %s with %d faults%n", day.scenario.seed(), first.rule(), first.what(), file,
+                    least.faults().size());
         }
-        return ownBreaks == 0 ? 0 : 1;
     }
 
-    private static int replay(Path file, PrintStream out) throws IOException, Scenario.Unreadable {
-        Scenario scenario = Scenario.parse(Files.readAllLines(file));
+    private static int replay(Path file, PrintStream out, PrintStream err) throws IOException {
+        Scenario scenario;
+        try {
+            scenario = Scenario.parse(Files.readAllLines(file));
+        } catch (Scenario.Unreadable e) {
+            err.println(file + ": " + e.getMessage());
+            return 2;
+        }
         Play play = Play.of(scenario, Choice::new);
         play.timeline().forEach(out::println);
         List<Rules.Break> breaks = Rules.judge(scenario, play.world.facts, play.settings, play.world.now());
-        breaks.forEach(one -> out.printf(Locale.ROOT, "%10.4f s  BROKEN %s: %s%n", (one.at() - 1_000_000_000L) / 1e9, one.rule(),
+        breaks.forEach(one -> out.printf(Locale.ROOT, "%10.4f s  BROKEN %s: %s%n", (one.at() - World.BEGIN) / 1e9, one.rule(),
                 one.what()));
         out.println(play.world.print());
         return breaks.isEmpty() ? 0 : 1;
--- a/lab/src/main/java/wrenreach/lab/LabNode.java
+++ b/lab/src/main/java/wrenreach/lab/LabNode.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.FileSystem;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,6 +19,7 @@
 import wrenreach.net.Sockets;
 import wrenreach.node.Config;
 import wrenreach.node.DeliveryNode;
+import wrenreach.node.Reload;
 
 /** One delivery node as shipped, on the world's loop, network and disk; it can be killed and started again. */
 final class LabNode {
@@ -31,18 +34,27 @@
     }
 
     private static final String JOURNAL = "journal";
+    /** When the platform starts a process again that has ended by itself. */
+    private static final long RESTART = 500_000_000;
 
     final World world;
     final InetSocketAddress address;
     private final Config config;
+    private final String json;
+    private final int zone;
     private final Function<Settings, Dispatcher> module;
-    private final FileSystem disk = Jimfs.newFileSystem(Configuration.unix());
-    private final Path state = disk.getPath("/state");
+    private final FileSystem disk;
+    private final Path state;
     final String name;
     Network.Party party;
     private WireLoop loop;
+    private DeliveryNode node;
+    /** The process has ended by itself. */
+    private boolean over;
+    private long restartAfter;
     private Journal journal;
-    private boolean woken;
+    /** The instant at which the world looks at the node next: one event a node stands in the world's queue for it. */
+    private long looksAt = Long.MAX_VALUE;
     private long size;
     private long sizeBefore;
     private long writtenAt = -1;
@@ -51,12 +63,18 @@
     private Moment killMoment = Moment.BETWEEN;
     private Runnable killed = () -> { };
 
-    LabNode(World world, String name, InetSocketAddress address, Config config, Function<Settings, Dispatcher> module) {
+    LabNode(World world, String name, InetSocketAddress address, Config config, String json, int zone,
+            Function<Settings, Dispatcher> module) {
         this.world = world;
         this.name = name;
         this.address = address;
         this.config = config;
+        this.json = json;
+        this.zone = zone;
         this.module = module;
+        disk = Jimfs.newFileSystem(Configuration.unix().toBuilder().setMaxSize(2 * config.diskBytes())
+                .setBlockSize(512).setMaxCacheSize(0).build());
+        state = disk.getPath("/state");
         try {
             Files.createDirectories(state);
         } catch (IOException e) {
@@ -64,23 +82,28 @@
         }
         party = new Network.Party(name);
         party.up = false;
+        party.zone = zone;
     }
 
     /** Starts a process on what the disk holds. */
     void start() {
         party = new Network.Party(name);
+        party.zone = zone;
+        over = false;
+        restartAfter = RESTART;
         loop = new WireLoop(world.ticker);
         try {
             journal = Journal.open(state, config.diskBytes());
-            size = sizeBefore = Files.size(state.resolve(JOURNAL));
+            size = sizeBefore = journal.size();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        DeliveryNode node = new DeliveryNode(config, journal, module, new Sockets(loop, () -> new WireServer(this),
+        node = new DeliveryNode(config, journal, settings -> new Watched(module.apply(settings), world, name), new Sockets(loop, () -> new WireServer(this),
                 () -> new WireChannel(this), world::wallMillis));
         node.start();
+        node.stopped().thenAccept(code -> over = true);
         node.serving().thenRun(() -> world.record(new Fact.Serves(world.now(), name)));
-        woken = true;
+        look();
     }
 
     boolean up() {
@@ -111,10 +134,81 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        gone();
+    }
+
+    private void gone() {
         loop = null;
+        node = null;
         world.record(new Fact.Died(world.now(), name));
     }
 
+    /** The machine is gone without a word. */
+    void vanish() {
+        if (party.up) {
+            network().vanish(party);
+            gone();
+        }
+    }
+
+    /** A planned stop; the process starts again so long after it has ended. */
+    void stop(long startsAfter) {
+        restartAfter = startsAfter;
+        run(() -> node.stop());
+    }
+
+    /** The config is read again, with the platform at another of its addresses. */
+    void reload(int port) {
+        run(() -> {
+            try {
+                node.reconfigured(json.replaceFirst("\"discovery\":\"([0-9.]+):\\d+\"", "\"discovery\":\"$1:" + port + "\"")
+                        .getBytes(StandardCharsets.US_ASCII));
+            } catch (Reload.Unusable e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    /** The next write of the journal fails. */
+    void failWrite() {
+        if (party.up) {
+            try {
+                journal.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Others fill the disk up to its last block, or free it again. */
+    void fillDisk(boolean full) {
+        Path filler = disk.getPath("/filler");
+        try {
+            if (!full) {
+                Files.deleteIfExists(filler);
+                return;
+            }
+            try (FileChannel file = FileChannel.open(filler, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+                for (int block = 1 << 16; block > 0; block /= 2) {
+                    fill(file, block);
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void fill(FileChannel file, int block) {
+        try {
+            while (file.write(ByteBuffer.allocate(block)) > 0) {
+                continue;
+            }
+        } catch (IOException e) {
+            // No room for a block of this size: that is what was wanted.
+            return;
+        }
+    }
+
     private Network network() {
         return world.network;
     }
@@ -123,41 +217,58 @@
     void run(Runnable work) {
         if (loop != null && party.up) {
             loop.execute(work);
-            woken = true;
+            lookAt(world.now());
         }
     }
 
-    /** When the node has something to do; Long.MAX_VALUE: nothing. */
-    long dueAt() {
-        if (loop == null) {
-            return Long.MAX_VALUE;
+    private void lookAt(long when) {
+        if (when < looksAt) {
+            looksAt = when;
+            world.at(when, () -> {
+                // One that an earlier look has overtaken is of no more use.
+                if (looksAt == when) {
+                    look();
+                }
+            });
         }
-        long due = loop.dueAt();
-        return woken ? world.now() : due < 0 ? Long.MAX_VALUE : due;
     }
 
-    /** Runs what is due. */
-    void turn() {
-        woken = false;
+    /** Runs what is due, and comes back for what is next. */
+    private void look() {
+        looksAt = Long.MAX_VALUE;
+        if (loop == null) {
+            return;
+        }
         WireLoop running = loop;
         while (running.runNow() > 0) {
             // A turn's end is a task of its own.
             continue;
         }
-        try {
-            long after = Files.size(state.resolve(JOURNAL));
-            if (after != size) {
-                writes++;
-                writtenAt = world.now();
-                sizeBefore = after > size ? size : after;
-                size = after;
-                if (writes == killAtWrite) {
-                    kill(killMoment);
-                    killed.run();
+        if (over) {
+            network().die(party, false);
+            gone();
+            world.later(restartAfter, () -> {
+                if (!up()) {
+                    start();
                 }
+            });
+            return;
+        }
+        long after = journal.size();
+        if (after != size) {
+            writes++;
+            writtenAt = world.now();
+            sizeBefore = after > size ? size : after;
+            size = after;
+            if (writes == killAtWrite) {
+                kill(killMoment);
+                killed.run();
+                return;
             }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        }
+        long due = running.dueAt();
+        if (due >= 0) {
+            lookAt(due);
         }
     }
 }
--- a/lab/src/main/java/wrenreach/lab/Network.java
+++ b/lab/src/main/java/wrenreach/lab/Network.java
@@ -4,8 +4,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +49,11 @@
         private final List<Flight> sent = new ArrayList<>();
         private long sentAt = -1;
         boolean up = true;
+        /** While it is not up: whether it is gone without a word. */
+        boolean vanished;
+        int zone;
+        /** Who found it gone since it was last up. */
+        final Set<Party> missedBy = Collections.newSetFromMap(new IdentityHashMap<>());
 
         Party(String name) {
             this.name = name;
@@ -73,6 +80,7 @@
         private End endB;
         private boolean closedA;
         private boolean closedB;
+        private boolean vanished;
         private final Deque<Flight> toA = new ArrayDeque<>();
         private final Deque<Flight> toB = new ArrayDeque<>();
         private long lastToA;
@@ -100,6 +108,9 @@
                         End to = toB ? endB : endA;
                         if (to != null && !(toB ? closedB : closedA)) {
                             to.received(piece);
+                        } else if (vanished && (toB ? b : a).up) {
+                            // A machine that is back does not know the connection any more.
+                            end(!toB);
                         }
                     });
                 }
@@ -131,7 +142,7 @@
         }
 
         private void carry(boolean toB, Party sender, Runnable work) {
-            long at = Math.max(world.now() + delay(), (toB ? lastToB : lastToA) + 1);
+            long at = Math.max(world.now() + delay(a, b), (toB ? lastToB : lastToA) + 1);
             lastToB = toB ? at : lastToB;
             lastToA = toB ? lastToA : at;
             Flight flight = new Flight(at, work);
@@ -167,7 +178,7 @@
 
     private static final double FRAGMENTED = 0.05;
     private static final long SENT_AGAIN = 50_000_000;
-    private static final long LEAST_DELAY = 150_000, MORE_DELAY = 300_000;
+    private static final long LEAST_DELAY = 150_000, MORE_DELAY = 300_000, BETWEEN_ZONES = 2_000_000;
 
     private final World world;
     private final Map<InetSocketAddress, Listener> listeners = new HashMap<>();
@@ -177,8 +188,8 @@
         this.world = world;
     }
 
-    private long delay() {
-        return LEAST_DELAY + world.below((int) MORE_DELAY);
+    private long delay(Party from, Party to) {
+        return LEAST_DELAY + world.below((int) MORE_DELAY) + (from.zone != to.zone ? BETWEEN_ZONES : 0);
     }
 
     private boolean cut(Party a, Party b) {
@@ -205,18 +216,23 @@
 
     /** Asks for a connection. Nothing is heard where a cut lies between, nor before a round trip has passed. */
     void connect(Party from, InetSocketAddress own, InetSocketAddress to, Connecting asks) {
-        world.at(world.now() + delay(), () -> {
+        Listener known = listeners.get(to);
+        Party other = known == null ? from : known.party();
+        world.at(world.now() + delay(from, other), () -> {
             Listener listener = listeners.get(to);
-            if (listener != null && cut(from, listener.party())) {
+            if (listener != null && !listener.party().up) {
+                listener.party().missedBy.add(from);
+            }
+            if (listener != null && (cut(from, listener.party()) || listener.party().vanished)) {
                 return;
             }
             if (listener == null || !listener.party().up) {
-                world.at(world.now() + delay(), asks::refused);
+                world.at(world.now() + delay(from, other), asks::refused);
                 return;
             }
             Link link = new Link(from, listener.party());
             link.endB = listener.accepted(link, own);
-            long back = world.now() + delay();
+            long back = world.now() + delay(from, other);
             link.lastToA = back;
             world.at(back, () -> {
                 if (!from.up) {
@@ -230,6 +246,18 @@
         });
     }
 
+    /** The party's machine is gone without a word: who is connected to it hears nothing. */
+    void vanish(Party party) {
+        party.up = false;
+        party.vanished = true;
+        for (Link link : party.links) {
+            link.closedA |= link.a == party;
+            link.closedB |= link.b == party;
+            link.vanished = true;
+        }
+        party.links.clear();
+    }
+
     /** The party's process dies: its connections break. takeBack: what it sent at this instant never left it. */
     void die(Party party, boolean takeBack) {
         party.up = false;
@@ -238,9 +266,10 @@
         }
         for (Link link : List.copyOf(party.links)) {
             boolean isA = link.a == party;
+            party.missedBy.add(isA ? link.b : link.a);
             link.closedA |= isA;
             link.closedB |= !isA;
-            world.at(world.now() + delay(), () -> {
+            world.at(world.now() + delay(link.a, link.b), () -> {
                 if (!cut(link.a, link.b)) {
                     link.end(isA);
                 }
--- a/lab/src/main/java/wrenreach/lab/Platform.java
+++ b/lab/src/main/java/wrenreach/lab/Platform.java
@@ -19,13 +19,14 @@
     private final Supplier<String> list;
     private final List<HttpPeer> watches = new ArrayList<>();
 
-    /** list: the whole list as discovery words it, at the instant it is asked for. */
+    /** It is to be had at the address and at the next port. list: the whole list as discovery words it, at the instant it is asked for. */
     Platform(World world, String node, InetSocketAddress address, Supplier<String> list) {
         this.world = world;
         this.node = node;
         this.list = list;
         party = new Network.Party("platform-" + node);
         world.network.listen(address, this);
+        world.network.listen(new InetSocketAddress(address.getAddress(), address.getPort() + 1), this);
         beat();
     }
 
--- a/lab/src/main/java/wrenreach/lab/Play.java
+++ b/lab/src/main/java/wrenreach/lab/Play.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import wrenreach.api.Dispatcher;
 import wrenreach.api.Settings;
 import wrenreach.node.Config;
@@ -19,10 +20,11 @@
 final class Play {
     static final long MS = 1_000_000;
     /** Figures of the settings that all scenarios share, in seconds. */
-    static final double LIFETIME = 8, WINDOW = 5, GRACE = 0.5, COLD_FROM = 0.3, COLD = 6, OVERLOAD = 2, TIP_AFTER = 2;
-    private static final String[] EFFECTS = {"token", "side_effect", "pure"};
-    /** After the last mail its time and the restart of its node may still pass. */
-    private static final long AFTER = 14_000 * MS;
+    static final double WINDOW = 5, GRACE = 0.5, COLD_FROM = 0.3, COLD = 12, OVERLOAD = 1.5, TIP_AFTER = 2, LATE_SHARE = 0.5;
+    private static final String[] EFFECTS = {"pure", "token", "side_effect"};
+    /** After the last mail's time the restart of its node may still pass. */
+    private static final long AFTER = 6_000 * MS;
+    private static final int PLATFORM = 8500, RECEIVER = 8080;
 
     final Scenario scenario;
     final World world;
@@ -31,6 +33,9 @@
     private final List<Platform> platforms = new ArrayList<>();
     private int version = 1;
     private int replaced;
+    /** The list as text, and of which version: each node reads it. */
+    private String list;
+    private int listed;
 
     private Play(Scenario scenario, Function<Settings, Dispatcher> module) {
         this.scenario = scenario;
@@ -40,9 +45,9 @@
         }
         Config config = null;
         for (int i = 0; i < scenario.nodes(); i++) {
-            InetSocketAddress agent = new InetSocketAddress("127.9.0." + (i + 1), 8500);
+            InetSocketAddress agent = new InetSocketAddress(host(9, i), PLATFORM);
             config = config(i, agent);
-            world.nodes.add(new LabNode(world, "n" + i, config.listen(), config, module));
+            world.nodes.add(new LabNode(world, "n" + i, config.listen(), config, json(i, agent), i % scenario.zones(), module));
             platforms.add(new Platform(world, "n" + i, agent, this::list));
         }
         settings = config.settings();
@@ -65,34 +70,54 @@
     private void run() {
         long begin = world.now();
         long length = scenario.lengthMs() * MS;
-        Clients clients = new Clients(world, scenario.destinations(), "order", (long) (LIFETIME * 1e9));
+        Clients clients = new Clients(world, scenario.destinations(), scenario.playedClasses());
         world.later(500 * MS, () -> clients.come(scenario.rate(), begin + length));
         for (Scenario.Fault fault : scenario.faults()) {
             world.at(begin + fault.atMs() * MS, () -> begin(fault));
         }
-        world.play(begin + length + AFTER);
+        int lifetime = scenario.playedClasses().stream().mapToInt(Scenario.QueueClass::lifetimeMs).max().orElseThrow();
+        world.play(begin + length + lifetime * MS + AFTER);
     }
 
     private Receiver receiver(String name, int number, int destination) {
-        return new Receiver(world, name, new InetSocketAddress("127.8." + number / 200 + "." + (number % 200 + 1), 80),
-                destination, COLD_FROM, COLD, OVERLOAD, TIP_AFTER);
+        return new Receiver(world, name, new InetSocketAddress(host(8, number), RECEIVER),
+                destination, number / scenario.destinations() % scenario.zones(), COLD_FROM, COLD, OVERLOAD, TIP_AFTER);
+    }
+
+    private static String host(int net, int number) {
+        return "127." + net + "." + number / 200 + "." + (number % 200 + 1);
     }
 
     private String list() {
+        if (listed != version) {
+            listed = version;
+            list = written();
+        }
+        return list;
+    }
+
+    private String written() {
         return "{\"index\":" + version + ",\"snapshot\":true,\"endpoints\":[" + receivers.stream().map(r -> String.format(
-                Locale.ROOT, "{\"name\":\"%s\",\"address\":\"%s:80\",\"zone\":\"home\",\"type\":\"small\",\"group\":%d,"
-                + "\"status\":\"%s\",\"weight\":100}", r.name, r.address.getHostString(), r.destination,
+                Locale.ROOT, "{\"name\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z%d\",\"type\":\"small\",\"group\":%d,"
+                + "\"status\":\"%s\",\"weight\":100}", r.name, r.address.getHostString(), RECEIVER, r.party.zone, r.destination,
                 r.draining ? "DRAINING" : "SERVING")).collect(Collectors.joining(",")) + "]}";
     }
 
     private Config config(int number, InetSocketAddress agent) {
-        String json = String.format(Locale.ROOT, """
-                {"name":"n%d","listen":"127.7.0.%d:6379","discovery":"%s:8500","seed":"%x",
+        try {
+            return Config.parse(json(number, agent).getBytes(StandardCharsets.UTF_8), Map.of());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private String json(int number, InetSocketAddress agent) {
+        return String.format(Locale.ROOT, """
+                {"name":"n%d","listen":"%s:6379","discovery":"%s:%d","seed":"%x",
                  "limits":{"cores":1,"memory_mb":192,"sockets":512,"disk_mb":2},"known":%s,
-                 "settings":{"Me":%d,"GroupSize":%d,"Zone":0,"Areas":["home"],"Kinds":["small"],"Tick":0.005,
+                 "settings":{"Me":%d,"GroupSize":%d,"Zone":%d,"Areas":[%s],"Kinds":["small"],"Tick":0.005,
                  "Discovery":"push","Weights":"nominal","OverShareWorth":0.5,
-                 "Classes":[{"Name":"order","Promise":2,"Deadline":%.1f,"Value":1,"LateShare":0.5,"Effect":"%s",
-                 "KeyScope":"all","Window":%.1f,"InTurn":true,"Stream":false}],
+                 "Classes":[%s],
                  "Tenants":[{"Name":"shop","QuotaPerS":1000,"Share":1}],
                  "FamilyInfo":{"MaxCalls":12,"KindApart":[false],"BatchByKind":[1],"Decay":"even"},
                  "Feedback":{"How":"piggyback","Names":["x0","x1"]},
@@ -100,14 +125,17 @@
                  "RetryAfter":true,"MaxRetryAfter":3,"ConnIdle":6,"ConnectTimeout":1},
                  "Rules":{"AnswerSlack":0.02,"DrainGrace":%.1f,"ColdFrom":%.2f,"Cold":%.1f,"OverloadFactor":%.1f,
                  "TipAfter":%.1f,"OrderSettle":0.1}}}
-                """, number, number + 1, agent.getHostString(), scenario.seed() * 64 + number & Long.MAX_VALUE, list(), number,
-                scenario.nodes(), LIFETIME, EFFECTS[(int) Math.floorMod(scenario.seed(), 3L)], WINDOW, GRACE, COLD_FROM, COLD,
+                """, number, host(7, number), agent.getHostString(), agent.getPort(), scenario.seed() * 64 + number & Long.MAX_VALUE, list(), number,
+                scenario.nodes(), number % scenario.zones(), IntStream.range(0, scenario.zones()).mapToObj(z -> "\"z" + z + "\"")
+                .collect(Collectors.joining(",")), classes(), GRACE, COLD_FROM, COLD,
                 OVERLOAD, TIP_AFTER);
-        try {
-            return Config.parse(json.getBytes(StandardCharsets.UTF_8), Map.of());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+    }
+
+    private String classes() {
+        return scenario.playedClasses().stream().map(one -> String.format(Locale.ROOT, "{\"Name\":\"%s\",\"Promise\":%.3f,"
+                + "\"Deadline\":%.3f,\"Value\":%s,\"LateShare\":%s,\"Effect\":\"%s\",\"KeyScope\":\"all\",\"Window\":%.1f,"
+                + "\"InTurn\":true,\"Stream\":false}", one.name(), one.targetMs() / 1000.0, one.lifetimeMs() / 1000.0,
+                one.importance(), LATE_SHARE, EFFECTS[one.effect().ordinal()], WINDOW)).collect(Collectors.joining(","));
     }
 
     private void begin(Scenario.Fault fault) {
@@ -128,6 +156,27 @@
                     world.later(length, () -> receiver.up(true));
                 }
             }
+            case VANISH_NODE -> {
+                node.vanish();
+                world.later(length, () -> restart(node));
+            }
+            case STOP -> node.stop(length);
+            case RELOAD -> {
+                node.reload(PLATFORM + 1);
+                world.later(length, () -> node.reload(PLATFORM));
+            }
+            case WRITE_FAILS -> node.failWrite();
+            case DISK_FULL -> {
+                node.fillDisk(true);
+                world.later(length, () -> node.fillDisk(false));
+            }
+            case CUT_CLIENTS -> cut(node.name, "clients", length);
+            case VANISH -> {
+                if (receiver.party.up) {
+                    receiver.vanish();
+                    world.later(length, () -> receiver.up(true));
+                }
+            }
             case SILENT, SLOW, FULL, ERRING -> {
                 receiver.failing = fault.kind();
                 world.later(length, () -> receiver.failing = null);
--- a/lab/src/main/java/wrenreach/lab/Receiver.java
+++ b/lab/src/main/java/wrenreach/lab/Receiver.java
@@ -3,18 +3,24 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
-/** One endpoint: slots, service time, a limit that is cold after a return, and the ways in which it fails. */
+/** One endpoint: slots, a queue before them, service time, a limit that is cold after a return, the ways in which it fails. */
 final class Receiver implements Network.Listener {
     private static final long SECOND = 1_000_000_000;
-    /** Slots, mean service time, rate when warm (a second). */
-    private static final int SLOTS = 6;
+
+    /** A call that came; knew: its node had found the receiver gone. */
+    private record Came(long at, boolean knew) { }
+
+    /** Slots, calls that may wait for one, mean service time when warm. */
+    private static final int SLOTS = 6, QUEUE = 12;
     private static final double SERVICE = 0.03 * SECOND;
-    private static final int RATE = 100;
 
     final String name;
     final InetSocketAddress address;
@@ -28,15 +34,20 @@
     private final double overload;
     private final double tipAfter;
     private int busy;
+    /** Calls that wait for a slot. */
+    private final Deque<Runnable> queue = new ArrayDeque<>();
+    /** Counts returns: what began before the last one does not end. */
+    private int lives;
     private long backAt = Long.MIN_VALUE / 2;
     private boolean tipped;
-    private final Deque<Long> came = new ArrayDeque<>();
+    private final Deque<Came> came = new ArrayDeque<>();
+    private final Set<Network.Party> missedBy = Collections.newSetFromMap(new IdentityHashMap<>());
     /** The connections on which a call of a mail is unanswered. */
     private final Map<String, List<Network.Link>> open = new HashMap<>();
 
     /** The figures of the rules: of the settings, times in seconds. */
-    Receiver(World world, String name, InetSocketAddress address, int destination, double coldFrom, double cold,
-             double overload, double tipAfter) {
+    Receiver(World world, String name, InetSocketAddress address, int destination, int zone,
+             double coldFrom, double cold, double overload, double tipAfter) {
         this.world = world;
         this.name = name;
         this.address = address;
@@ -46,6 +57,7 @@
         this.overload = overload;
         this.tipAfter = tipAfter;
         party = new Network.Party(name);
+        party.zone = zone;
         world.network.listen(address, this);
     }
 
@@ -53,36 +65,56 @@
         return party;
     }
 
+    /** The machine is gone without a word. */
+    void vanish() {
+        world.network.vanish(party);
+        forgetAll();
+    }
+
     /** The machine goes or comes back; then it is cold. */
     void up(boolean up) {
         if (!up) {
             world.network.die(party, false);
-            busy = 0;
-            open.clear();
+            forgetAll();
         } else {
+            party.vanished = false;
             party.up = true;
             backAt = world.now();
             tipped = false;
             came.clear();
+            missedBy.clear();
+            missedBy.addAll(party.missedBy);
+            party.missedBy.clear();
             world.record(new Fact.Back(backAt, name));
         }
     }
 
-    /** What it bears a second by now. */
-    private double limit() {
+    private void forgetAll() {
+        busy = 0;
+        lives++;
+        queue.clear();
+        open.clear();
+    }
+
+    /** How fast it is by now, against when it is warm. */
+    private double warmth() {
         double warm = Math.min(1, (world.now() - backAt) / (cold * SECOND));
-        return RATE * (coldFrom + (1 - coldFrom) * warm);
+        return coldFrom + (1 - coldFrom) * warm;
     }
 
-    /** Whether more has come of late than a cold receiver bears; it is then pushed over once. */
-    private void count() {
-        came.addLast(world.now());
+    /**
+     * Whether more has come of late than a cold receiver bears, two thirds of it from nodes that had found it gone; it is then
+     * pushed over once.
+     */
+    private void count(Network.Party from) {
+        came.addLast(new Came(world.now(), missedBy.contains(from)));
         long since = world.now() - (long) (tipAfter * SECOND);
-        while (came.peekFirst() < since) {
+        while (came.peekFirst().at < since) {
             came.pollFirst();
         }
         boolean returning = world.now() - backAt < cold * SECOND && world.now() - backAt > tipAfter * SECOND;
-        if (returning && !tipped && came.size() > overload * limit() * tipAfter) {
+        if (returning && !tipped && came.size() > overload * warmth() * SLOTS / SERVICE * SECOND * tipAfter
+                && 3 * came.stream().filter(Came::knew).count() >= 2 * came.size()) {
             tipped = true;
             world.record(new Fact.PushedOver(world.now(), name));
         }
@@ -104,7 +136,7 @@
                 boolean second = !unanswered.isEmpty() && !link.closedByAsker();
                 unanswered.add(link);
                 world.record(new Fact.Called(world.now(), carried, link.a.name, name, destination, second));
-                count();
+                count(link.a);
                 serve(request);
             }
 
@@ -112,33 +144,47 @@
                 String id = carried;
                 if (failing == Scenario.Kind.SILENT) {
                     if (world.chance(0.5)) {
-                        ran(request);
+                        ran(request, id);
                     }
                 } else if (failing == Scenario.Kind.FULL) {
                     long wait = 400 + world.below(600);
                     respond(id, "429 Too Many Requests", "Wait-Ms: " + wait);
                     world.record(new Fact.ToldWait(world.now(), link.a.name, destination, wait * 1_000_000));
-                } else if (busy >= SLOTS || draining) {
+                } else if (busy >= SLOTS && queue.size() >= QUEUE || draining) {
                     respond(id, "503 Service Unavailable");
+                } else if (busy >= SLOTS) {
+                    queue.addLast(() -> work(request, id));
                 } else {
-                    busy++;
-                    boolean errs = failing == Scenario.Kind.ERRING && world.chance(0.7);
-                    long takes = (long) ((failing == Scenario.Kind.SLOW ? 20 : 1) * SERVICE * (0.5 + world.below(1000) / 1000.0));
-                    ran(request);
-                    world.later(takes, () -> {
-                        busy = Math.max(0, busy - 1);
-                        if (party.up && !over) {
-                            if (!errs) {
-                                world.record(new Fact.Delivered(world.now(), id, name));
-                            }
-                            respond(id, errs ? "500 Internal Server Error" : "200 OK");
-                        }
-                    });
+                    work(request, id);
                 }
             }
 
-            private void ran(Request request) {
-                world.record(new Fact.Ran(world.now(), carried, name, request.headers().getOrDefault("idempotency-key", ""),
+            private void work(Request request, String id) {
+                busy++;
+                boolean errs = failing == Scenario.Kind.ERRING && world.chance(0.7);
+                long takes = (long) ((failing == Scenario.Kind.SLOW ? 20 : 1) * SERVICE / warmth()
+                        * (0.5 + world.below(1000) / 1000.0));
+                ran(request, id);
+                int life = lives;
+                world.later(takes, () -> {
+                    if (life != lives) {
+                        return;
+                    }
+                    busy--;
+                    if (!over) {
+                        if (!errs) {
+                            world.record(new Fact.Delivered(world.now(), id, name));
+                        }
+                        respond(id, errs ? "500 Internal Server Error" : "200 OK");
+                    }
+                    if (!queue.isEmpty()) {
+                        queue.pollFirst().run();
+                    }
+                });
+            }
+
+            private void ran(Request request, String id) {
+                world.record(new Fact.Ran(world.now(), id, name, request.headers().getOrDefault("idempotency-key", ""),
                         link.closedByAsker()));
             }
 
--- a/lab/src/main/java/wrenreach/lab/Rules.java
+++ b/lab/src/main/java/wrenreach/lab/Rules.java
@@ -32,6 +32,7 @@
     private final Map<String, List<Span>> excused = new HashMap<>();
     private final Map<String, List<Long>> serves = new HashMap<>();
     private final Map<String, List<Long>> deaths = new HashMap<>();
+    private final Map<String, Fact.HandedIn> mails;
     private final List<Span> receiverCuts = new ArrayList<>();
     private final Settings settings;
     private final List<Fact> facts;
@@ -41,6 +42,7 @@
         this.facts = facts;
         this.settings = settings;
         this.end = end;
+        mails = handedIn();
     }
 
     /** All that broke, in the order of time; end: the instant up to which the world was played. */
@@ -70,8 +72,11 @@
             if (fact instanceof Fact.Died died) {
                 deaths.computeIfAbsent(died.node(), n -> new ArrayList<>()).add(died.at());
             } else if (fact instanceof Fact.Serves ready) {
+                // A process that dies before it serves (its disk is full) has not been back: what counts is the first death.
+                long before = latest(serves.getOrDefault(ready.node(), List.of()), ready.at());
+                long since = deaths.getOrDefault(ready.node(), List.of()).stream().filter(at -> at > before).findFirst()
+                        .orElse(ready.at());
                 serves.computeIfAbsent(ready.node(), n -> new ArrayList<>()).add(ready.at());
-                long since = deaths.getOrDefault(ready.node(), List.of()).stream().reduce((a, b) -> b).orElse(ready.at());
                 excused.computeIfAbsent(ready.node(), n -> new ArrayList<>()).add(new Span(since, ready.at() + AFTER_READY));
             }
         }
@@ -101,6 +106,11 @@
         return by;
     }
 
+    private Settings.QueueClass queueClass(String id) {
+        Fact.HandedIn mail = mails.get(id);
+        return settings.classes().get(mail == null ? 0 : mail.queueClass());
+    }
+
     private Map<String, Fact.HandedIn> handedIn() {
         Map<String, Fact.HandedIn> all = new LinkedHashMap<>();
         facts.forEach(fact -> {
@@ -113,7 +123,6 @@
 
     /** One final answer in time, none lost; what ran is not called harmless to hand in again. */
     private void lost() {
-        Map<String, Fact.HandedIn> mails = handedIn();
         Map<String, Long> over = new HashMap<>();
         Map<String, String> status = new HashMap<>();
         Set<String> ran = new HashSet<>();
@@ -122,7 +131,7 @@
             if (fact instanceof Fact.Answered answered && answered.answer().equals("OK")) {
                 taken.put(answered.id(), answered);
             } else if (fact instanceof Fact.Answered answered && answered.answer().equals("BUSY") && ran.contains(answered.id())
-                    && settings.classes().get(0).effect() != Settings.Effect.REDELIVERABLE) {
+                    && queueClass(answered.id()).effect() != Settings.Effect.REDELIVERABLE) {
                 broke(Rule.TWICE, fact.at(), answered.id() + " ran and was refused as harmless to hand in again");
             } else if (fact instanceof Fact.Ran run) {
                 ran.add(run.id());
@@ -135,7 +144,7 @@
                     broke(Rule.LOST, noticed.at(), noticed.id() + " has two ends: " + before + ", " + noticed.status());
                 }
                 if (noticed.status().equals("deferred") && ran.contains(noticed.id())
-                        && settings.classes().get(0).effect() == Settings.Effect.ONCE_ONLY) {
+                        && queueClass(noticed.id()).effect() == Settings.Effect.ONCE_ONLY) {
                     broke(Rule.TWICE, noticed.at(), noticed.id() + " ran once only and was ended as harmless to hand in again");
                 }
             }
@@ -154,11 +163,11 @@
     /** No effect twice, and no second copy beside an open one. */
     private void twice() {
         Map<String, Long> first = new HashMap<>();
-        Settings.QueueClass kind = settings.classes().get(0);
         for (Fact fact : facts) {
             if (fact instanceof Fact.Called call && call.second()) {
                 broke(Rule.TWICE, call.at(), call.id() + " came to " + call.receiver() + " while an earlier copy is open there");
             } else if (fact instanceof Fact.Ran run) {
+                Settings.QueueClass kind = queueClass(run.id());
                 Long before = first.putIfAbsent(run.id(), run.at());
                 if (before == null || kind.effect() == Settings.Effect.REDELIVERABLE) {
                     continue;
@@ -203,7 +212,6 @@
 
     /** What a node took of one key runs in the order taken. */
     private void order() {
-        Map<String, Fact.HandedIn> mails = handedIn();
         Map<String, Integer> place = new HashMap<>();
         Map<String, Integer> latest = new TreeMap<>();
         int count = 0;
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/Trials.java
@@ -0,0 +1,81 @@
+package wrenreach.lab;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.IntConsumer;
+
+/** Plays every day of an experiment, several worlds beside each other; what comes of it does not depend on how many. */
+final class Trials {
+    /** One day that was played. took, emulated: nanoseconds; print: what stands for its facts. */
+    record Trial(int value, String dispatcher, long seed, Figures figures, List<Rules.Break> breaks, String print, long took,
+                 long emulated) { }
+
+    private Trials() { }
+
+    /** In the order of values, dispatchers, seeds; done: how many are over. */
+    static List<Trial> play(Experiment experiment, int jobs, IntConsumer done) throws InterruptedException {
+        ExecutorService pool = Executors.newFixedThreadPool(jobs);
+        try {
+            List<Future<Trial>> under = new ArrayList<>();
+            for (int value : experiment.sweep().values()) {
+                for (String dispatcher : experiment.about().dispatchers()) {
+                    for (int n = 0; n < experiment.about().seeds(); n++) {
+                        Scenario day = experiment.at(value, n);
+                        under.add(pool.submit(() -> play(day, value, dispatcher)));
+                    }
+                }
+            }
+            List<Trial> all = new ArrayList<>();
+            for (Future<Trial> one : under) {
+                all.add(one.get());
+                done.accept(all.size());
+            }
+            return all;
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause());
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    private static Trial play(Scenario day, int value, String dispatcher) {
+        long begin = System.nanoTime();
+        Play play = Play.of(day, Baseline.all().get(dispatcher));
+        long took = System.nanoTime() - begin;
+        List<Rules.Break> breaks = Rules.judge(day, play.world.facts, play.settings, play.world.now());
+        return new Trial(value, dispatcher, day.seed(), Figures.of(play.world.facts, play.settings, breaks.size()), breaks,
+                play.world.print(), took, play.world.now());
+    }
+
+    /** What stands for all days together. */
+    static String print(List<Trial> all) {
+        try {
+            MessageDigest hash = MessageDigest.getInstance("SHA-256");
+            all.forEach(trial -> hash.update((trial.print + "\n").getBytes(StandardCharsets.US_ASCII)));
+            return HexFormat.of().formatHex(hash.digest());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has SHA-256", e);
+        }
+    }
+
+    /** The days of each value and dispatcher as one. */
+    static Map<Integer, Map<String, Figures>> together(List<Trial> all) {
+        Map<Integer, Map<String, List<Figures>>> days = new LinkedHashMap<>();
+        all.forEach(trial -> days.computeIfAbsent(trial.value, v -> new LinkedHashMap<>())
+                .computeIfAbsent(trial.dispatcher, d -> new ArrayList<>()).add(trial.figures));
+        Map<Integer, Map<String, Figures>> merged = new LinkedHashMap<>();
+        days.forEach((value, byDispatcher) -> byDispatcher.forEach((dispatcher, figures) -> merged
+                .computeIfAbsent(value, v -> new LinkedHashMap<>()).put(dispatcher, Figures.together(figures))));
+        return merged;
+    }
+}
--- a/lab/src/main/java/wrenreach/lab/World.java
+++ b/lab/src/main/java/wrenreach/lab/World.java
@@ -20,7 +20,8 @@
 final class World {
     /** The wall's clock when a world begins, in milliseconds. */
     static final long WALL = 1_800_000_000_000L;
-    private static final long BEGIN = 1_000_000_000L;
+    /** The instant at which a world begins. */
+    static final long BEGIN = 1_000_000_000L;
 
     private record Due(long at, long order, Runnable work) { }
 
@@ -96,27 +97,12 @@
 
     /** Plays until that instant. */
     void play(long until) {
-        while (true) {
-            long next = events.isEmpty() ? Long.MAX_VALUE : events.peek().at;
-            LabNode first = null;
-            for (LabNode node : nodes) {
-                long due = node.dueAt();
-                if (due < next) {
-                    next = due;
-                    first = node;
-                }
-            }
-            if (next > until) {
-                now = Math.max(now, until);
-                return;
-            }
-            now = Math.max(now, next);
-            if (first != null) {
-                first.turn();
-            } else {
-                events.poll().work.run();
-            }
+        while (!events.isEmpty() && events.peek().at <= until) {
+            Due next = events.poll();
+            now = next.at;
+            next.work.run();
         }
+        now = Math.max(now, until);
     }
 
     /** What stands for all facts so far. */
--- /dev/null
+++ b/lab/src/test/java/wrenreach/lab/ExperimentTest.java
@@ -0,0 +1,194 @@
+package wrenreach.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
+
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wrenreach.api.Settings;
+import wrenreach.state.Breaker;
+
+class ExperimentTest {
+    private static final Logger ROOT = Logger.getLogger("");
+    private static final String SMALL = """
+            [experiment]
+            about = "A small one"
+            seeds = 2
+            dispatchers = ["wrenreach", "plain breaker"]
+            [fleet]
+            nodes = 1
+            destinations = 1
+            [traffic]
+            rate = 15
+            length = "3s"
+            [faults]
+            schedule = ["down 0 at 500 for 1500"]
+            [sweep]
+            figure = "size"
+            values = [1, 2]
+            """;
+    @TempDir Path folder;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+    @BeforeAll static void quiet() {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        ROOT.setLevel(Level.OFF);
+    }
+
+    private int lab(String... words) {
+        out.reset();
+        PrintStream print = new PrintStream(out, true, StandardCharsets.UTF_8);
+        return new LabCommand().run(List.of(words), print, print);
+    }
+
+    private String said() {
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private Path file(String text) throws Exception {
+        return Files.writeString(folder.resolve("experiment.toml"), text);
+    }
+
+    @Test void aRunLeavesItsFiguresAndOnePageAndSaysTheSameWithAnyNumberOfJobs() throws Exception {
+        String file = file(SMALL).toString();
+        assertThat(lab("run", file, "--out", folder.resolve("a").toString(), "--jobs", "1")).as(said()).isZero();
+        String print = said().lines().reduce((x, y) -> y).orElseThrow();
+        assertThat(print).hasSize(64);
+        assertThat(lab("run", file, "--out", folder.resolve("b").toString(), "--jobs", "4")).isZero();
+        assertThat(said().lines().reduce((x, y) -> y)).contains(print);
+        for (String name : List.of("results.csv", "delays.hlog", "breakers.csv")) {
+            assertThat(folder.resolve("a").resolve(name)).hasSameBinaryContentAs(folder.resolve("b").resolve(name));
+        }
+        assertThat(Files.readAllLines(folder.resolve("a/results.csv"))).hasSize(1 + 8);
+        String page = Files.readString(folder.resolve("a/report.html"));
+        assertThat(page).contains("A small one", "Delivered importance", "Calls a mail", "Delays, size 2", "Breakers not closed",
+                "data:image/png;base64,").doesNotContain("http:").doesNotContain("https:").doesNotContain("src=\"/");
+        RunFiles.Run read = RunFiles.read(folder.resolve("a"));
+        assertThat(read.figures().keySet()).containsExactly(1, 2);
+        Figures point = read.figures().get(2).get("wrenreach");
+        assertThat((long) point.delivered()).isPositive().isEqualTo(point.delays().getTotalCount());
+        assertThat(point.breakers()).isNotEmpty();
+        assertThat(lab("beside", folder.resolve("a").toString(), folder.resolve("b").toString(), "--out",
+                folder.resolve("two.html").toString())).isZero();
+        assertThat(folder.resolve("two.html")).content().contains("What differs", "&rarr;");
+    }
+
+    @Test void everyFaultOfAFileIsToldWithItsLineAndNothingIsWritten() throws Exception {
+        Path file = file("""
+                [experiment]
+                about = "Wrong"
+                seeds = 0
+                dispatchers = ["wrenreach", "luck"]
+                [fleet]
+                node = 3
+                [traffic]
+                rate = 10
+                classes = [
+                    "order tagged importance 1 target 2000 lifetime 8000 share 1",
+                    "order twice importance 1 target 2000 lifetime 8000 share 1",
+                ]
+                [faults]
+                schedule = ["down 0 at 500", "melt 0 at 1 for 1"]
+                """);
+        Path result = folder.resolve("result");
+        assertThat(lab("run", file.toString(), "--out", result.toString())).isEqualTo(2);
+        assertThat(said()).contains(file + ":3: experiment.seeds:", file + ":4: experiment.dispatchers: luck is not known",
+                file + ":6: fleet.node: is not known", file + ":11: traffic.classes: twice is not known",
+                file + ":14: faults.schedule: is no fault of the form", "melt is not known");
+        assertThat(result).doesNotExist();
+        assertThat(lab("run", file("[experiment\n").toString(), "--out", result.toString())).isEqualTo(2);
+        assertThat(lab("run", file("[experiment]\nabout = \"x\"\n").toString(), "--out", result.toString())).isEqualTo(2);
+        assertThat(said()).contains("fleet: is missing", "traffic: is missing");
+        assertThat(lab("run", folder.resolve("none.toml").toString(), "--out", result.toString())).isEqualTo(2);
+        assertThat(lab("run", file.toString())).isEqualTo(2);
+        assertThat(lab("run", file.toString(), "--out", result.toString(), "--jobs", "0")).isEqualTo(2);
+    }
+
+    @Test void aFolderThatCantBeWrittenIsToldBeforeAnythingIsPlayed() throws Exception {
+        String file = file(SMALL).toString();
+        Path there = Files.writeString(folder.resolve("there"), "a file");
+        assertThat(lab("run", file, "--out", there.toString())).isEqualTo(1);
+        assertThat(lab("run", file, "--out", there.resolve("under").toString())).isEqualTo(1);
+        Path full = Files.createDirectory(folder.resolve("full"));
+        Files.writeString(full.resolve("kept"), "");
+        assertThat(lab("run", file, "--out", full.toString())).isEqualTo(1);
+        assertThat(there).hasContent("a file");
+        try (Stream<Path> all = Files.list(folder)) {
+            assertThat(all.map(one -> one.getFileName().toString())).containsExactlyInAnyOrder("experiment.toml", "there", "full");
+        }
+        assertThat(lab("beside", full.toString(), full.toString(), "--out", folder.resolve("two.html").toString())).isEqualTo(1);
+    }
+
+    @Test void readyExperimentsCanBeRead() throws Exception {
+        try (Stream<Path> files = Files.list(Path.of("lab/experiments"))) {
+            List<Path> all = files.sorted().toList();
+            assertThat(all).hasSizeGreaterThanOrEqualTo(5);
+            for (Path one : all) {
+                Experiment read = Experiment.read(one);
+                assertThat(read.about().dispatchers()).as(one.toString()).contains("wrenreach", "plain breaker");
+                assertThat(Scenario.parse(read.at(2, 1).text().lines().toList())).isEqualTo(read.at(2, 1));
+            }
+        }
+        Experiment down = Experiment.read(Path.of("lab/experiments/one-down.toml"));
+        assertThat(down.at(100, 0).nodes()).isEqualTo(300);
+        assertThat(down.at(100, 0).rate()).isEqualTo(500);
+        assertThat(Experiment.read(Path.of("lab/experiments/replacement.toml")).at(1, 0).faults()).hasSize(59)
+                .extracting(Scenario.Fault::which).startsWith(1, 2, 3);
+    }
+
+    @Test void figuresAreThoseOfTheFacts() {
+        Settings.QueueClass urgent = new Settings.QueueClass(1_000_000, 3_000_000, 4, 0.5, false, Settings.Effect.TAGGED,
+                Settings.RepeatGroup.ALL, 0, true);
+        assertThat(Figures.worth(urgent, 900_000)).isEqualTo(4);
+        assertThat(Figures.worth(urgent, 2_000_000)).isCloseTo(3, within(1e-9));
+        assertThat(Figures.worth(urgent, 9_000_000)).isCloseTo(2, within(1e-9));
+        Settings base = Play.of(Scenario.drawn(1).with(List.of()).with(Scenario.Figure.LENGTH, 1000), Baseline::oneTry).settings;
+        Settings.QueueClass c = base.classes().get(0);
+        long second = 1_000_000_000L;
+        List<Fact> facts = List.of(new Fact.HandedIn(second, "m0.0", "n0", 0, 0, "k", "m0", 9 * second),
+                new Fact.HandedIn(2 * second, "m0.1", "n0", 0, 0, "k", "m0", 9 * second),
+                new Fact.HandedIn(2 * second, "m1.0", "n0", 0, 0, "k", "m1", 9 * second),
+                new Fact.Called(2 * second, "m0.1", "n0", "r0", 0, false), new Fact.Delivered(3 * second, "m0.1", "r0"),
+                new Fact.Delivered(4 * second, "m0.0", "r0"),
+                new Fact.Turned(5 * second, "n0", "d", Breaker.Phase.OPEN),
+                new Fact.Turned(6 * second, "n0", "d", Breaker.Phase.HALF_OPEN),
+                new Fact.Turned(7 * second, "n0", "d", Breaker.Phase.CLOSED));
+        Figures figures = Figures.of(facts, base, 0);
+        assertThat(figures.mails()).isEqualTo(2);
+        assertThat(figures.delivered()).isEqualTo(1);
+        assertThat(figures.triesAMail()).isEqualTo(0.5);
+        assertThat(figures.delayMs(50)).isCloseTo(2000, within(2.0));
+        assertThat(figures.importanceShare()).isCloseTo(Figures.worth(c, 2_000_000) / (2 * c.importance()), within(1e-9));
+        assertThat(figures.breakers()).extracting(Figures.Point::open).containsExactly(1, 0, 0);
+        assertThat(figures.breakers()).extracting(Figures.Point::halfOpen).containsExactly(0, 1, 0);
+    }
+
+    /** The source's breaker: nothing goes out while it rests, then one probe at a time. */
+    @Test void thePlainBreakerParksAndProbes() throws Exception {
+        Scenario day = Scenario.parse(List.of("seed 2", "rate 40", "length 9000", "fault down 0 at 2000 for 3000"));
+        Play plain = Play.of(day, Baseline::plainBreaker);
+        assertThat(plain.world.facts.stream().filter(f -> f instanceof Fact.Turned).map(f -> ((Fact.Turned) f).phase()))
+                .startsWith(Breaker.Phase.OPEN, Breaker.Phase.HALF_OPEN).endsWith(Breaker.Phase.CLOSED);
+    }
+
+    @Test void aFaultThatComesBackHitsTheNextOne() {
+        assertThat(Scenario.faults("kill 1 at 100 for 50 every 300", 800)).extracting(Scenario.Fault::text)
+                .containsExactly("fault kill 1 at 100 for 50", "fault kill 2 at 400 for 50", "fault kill 3 at 700 for 50");
+        assertThatThrownBy(() -> Scenario.faults("kill 1 at 100", 800)).hasMessageContaining("KIND WHICH at MS for MS");
+        assertThatThrownBy(() -> Scenario.queueClass("a tagged importance 1 target 9 lifetime 8 share 1"))
+                .hasMessageContaining("no longer than its lifetime");
+    }
+}
--- a/lab/src/test/java/wrenreach/lab/LabTest.java
+++ b/lab/src/test/java/wrenreach/lab/LabTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import wrenreach.Choice;
@@ -178,7 +179,7 @@
         Function<Settings, Dispatcher> plain = name.equals("one try") ? Baseline::oneTry : Baseline::fixedRests;
         int caught = 0;
         for (int seed = 1; seed <= 3; seed++) {
-            Scenario day = Scenario.parse(List.of("seed " + seed, "rate 150", "length 10000", "fault down 0 at 2000 for 2500"));
+            Scenario day = Scenario.parse(List.of("seed " + seed, "nodes 2", "rate 190", "length 10000", "fault down 0 at 2000 for 2500"));
             caught += breaks(day, plain).stream().anyMatch(one -> one.rule() == Rules.Rule.PUSHED_OVER) ? 1 : 0;
             assertThat(breaks(day, Choice::new)).isEmpty();
         }
@@ -203,6 +204,25 @@
         assertThat(killed).isGreaterThan(20);
     }
 
+    /** Each fault happens, its mark shows in the log, the node gets over it, and nothing is lost or doubled. */
+    @ParameterizedTest
+    @CsvSource({"KILL, Died, Serves", "KILL_WRITTEN, Died, Serves", "KILL_TORN, Died, Serves", "VANISH_NODE, Died, Serves",
+        "STOP, Died, Serves", "DISK_FULL, Died, Serves", "WRITE_FAILS, Died, Serves", "DOWN, Back, Delivered",
+        "VANISH, Back, Delivered", "FULL, ToldWait, Delivered", "DRAIN, ToldDrain, Delivered", "RELOAD, Fault, Delivered",
+        "CUT_PLATFORM, Fault, Delivered", "CUT_RECEIVER, Fault, Delivered", "CUT_CLIENTS, Fault, Delivered",
+        "SILENT, Fault, Delivered", "SLOW, Fault, Delivered", "ERRING, Fault, Delivered"})
+    void eachFaultHappensAndIsGotOver(Scenario.Kind kind, String mark, String after) throws Exception {
+        for (int seed = 1; seed <= 3; seed++) {
+            Scenario day = Scenario.parse(List.of("seed " + seed, "nodes 2", "zones 2", "endpoints 2", "rate 30", "length 6000",
+                    "fault " + kind + " 0 at 2000 for 1500"));
+            Play play = Play.of(day, Choice::new);
+            assertThat(Rules.judge(day, play.world.facts, play.settings, play.world.now())).as(day.text()).isEmpty();
+            assertThat(play.world.facts.stream().filter(one -> one.at() >= World.BEGIN + 2000 * Play.MS)
+                    .map(one -> one.getClass().getSimpleName()).dropWhile(name -> !name.equals(mark)))
+                    .as(day.text()).contains(mark, after);
+        }
+    }
+
     /** Days that broke a rule once: what was found stays found. */
     @Test void keptDaysStayMended() throws Exception {
         try (var files = Files.list(Path.of("lab/days"))) {
@@ -226,10 +246,9 @@
         Path file = Files.writeString(folder.resolve("kept.day"), least.text());
         assertThat(new LabCommand().run(List.of("replay", file.toString()), print, print)).isZero();
         assertThat(out.toString(StandardCharsets.UTF_8)).contains("fault full").contains("Delivered");
-        assertThat(new LabCommand().run(List.of("explore", "1..5", "30", folder.toString()), print, print)).isZero();
+        assertThat(new LabCommand().run(List.of("explore", "--seeds", "1..5", "--for", "30s", "--out", folder.toString(), "--jobs",
+                "2"), print, print)).isZero();
         assertThat(out.toString(StandardCharsets.UTF_8)).contains("5 days played, 0 broke a rule");
-        assertThat(new LabCommand().run(List.of("compare", file.toString(), "2"), print, print)).isZero();
-        assertThat(out.toString(StandardCharsets.UTF_8)).contains("wrenreach  ").contains("one try").contains("fixed rests");
         assertThat(new LabCommand().run(List.of("explore", "1"), print, print)).isEqualTo(2);
         Files.writeString(file, "seed 1\nfault melt 1 at 2 for 3\n");
         assertThat(new LabCommand().run(List.of("replay", file.toString()), print, print)).isEqualTo(2);
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -117,6 +117,11 @@
         }
     }
 
+    /** Bytes that its file holds. */
+    public long size() {
+        return size;
+    }
+
     /** Writes all records noted since the last time, at once. */
     public void write() throws IOException {
         if (pending.size() == 0) {
--- a/operator/src/main/java/wrenreach/operator/Section.java
+++ b/operator/src/main/java/wrenreach/operator/Section.java
@@ -14,14 +14,14 @@
 
 /**
  * A table of the operator's file and the record that it is read into. A component is boolean, int, long, double, String,
- * Path or a list of String, and has a {@link Key}. The record's constructor may check what spans several keys and throw
+ * Path or a list of String or Integer, and has a {@link Key}. The record's constructor may check what spans several keys and throw
  * IllegalArgumentException.
  */
 public record Section<S extends Record>(String name, Class<S> type) {
     private static final Pattern CAPITAL = Pattern.compile("(?=[A-Z])");
 
     /** One key of a section. */
-    record Entry(String name, Key key, Class<?> type) {
+    record Entry(String name, Key key, Class<?> type, boolean numbers) {
         /** The value that a text stands for. */
         Object read(String text) {
             if (type == boolean.class) {
@@ -35,7 +35,8 @@
             } else if (type == Path.class) {
                 return Path.of(text);
             } else if (type == List.class) {
-                return text.isEmpty() ? List.of() : List.of(text.split(","));
+                List<String> parts = text.isEmpty() ? List.of() : List.of(text.split(","));
+                return numbers ? parts.stream().map(Integer::valueOf).toList() : parts;
             }
             return text;
         }
@@ -45,7 +46,8 @@
             if (value instanceof Number number && type != double.class) {
                 return key.unit() == Unit.PLAIN ? value.toString() : '"' + key.unit().write(number.longValue()) + '"';
             } else if (value instanceof List<?> list) {
-                return "[" + String.join(", ", list.stream().map(one -> "\"" + one + "\"").toList()) + "]";
+                return "[" + String.join(", ", list.stream()
+                        .map(one -> numbers ? one.toString() : "\"" + one + "\"").toList()) + "]";
             }
             return value instanceof String || value instanceof Path ? "\"" + value + "\"" : String.valueOf(value);
         }
@@ -57,7 +59,8 @@
 
     private static Entry entry(RecordComponent component) {
         String name = String.join("_", CAPITAL.split(component.getName())).toLowerCase(Locale.ROOT);
-        return new Entry(name, component.getAnnotation(Key.class), component.getType());
+        return new Entry(name, component.getAnnotation(Key.class), component.getType(),
+                component.getGenericType().getTypeName().endsWith("<java.lang.Integer>"));
     }
 
     /** The record of a table; what is wrong goes to faults (key and text), and the result is then null. */
@@ -124,6 +127,15 @@
             return given.textValue();
         } else if (type == Path.class && given.isTextual() && !given.textValue().isEmpty()) {
             return Path.of(given.textValue());
+        } else if (type == List.class && given.isArray() && entry.numbers) {
+            List<Integer> all = new ArrayList<>();
+            for (JsonNode one : given) {
+                if (!one.isIntegralNumber() || !one.canConvertToInt()) {
+                    throw new IllegalArgumentException("is a list of whole numbers, not " + given);
+                }
+                all.add(one.intValue());
+            }
+            return List.copyOf(all);
         } else if (type == List.class && given.isArray()) {
             List<String> texts = new ArrayList<>();
             for (JsonNode one : given) {
@@ -135,7 +147,7 @@
             return List.copyOf(texts);
         }
         String form = type == boolean.class ? "true or false" : type == String.class ? "a text in quotes"
-                : type == Path.class ? "the path of a file in quotes" : type == List.class ? "a list of texts"
+                : type == Path.class ? "the path of a file in quotes" : type == List.class ? entry.numbers ? "a list of whole numbers" : "a list of texts"
                 : type == double.class ? "a number" : entry.key.unit() == Unit.PLAIN ? "a whole number"
                 : entry.key.unit().form();
         throw new IllegalArgumentException("is " + form + ", not " + given);
