--- a/lab/src/main/java/wrenreach/lab/Clients.java
+++ b/lab/src/main/java/wrenreach/lab/Clients.java
@@ -81,9 +81,9 @@
         return queueClass;
     }
 
-    private LabNode choose(String key) {
-        List<LabNode> known = new ArrayList<>();
-        for (LabNode node : world.nodes) {
+    private FleetNode choose(String key) {
+        List<FleetNode> known = new ArrayList<>();
+        for (FleetNode node : world.nodes) {
             if (node.up()) {
                 diedAt.remove(node.name);
             } else {
@@ -94,8 +94,8 @@
             }
         }
         // A key keeps to its node while that one is there.
-        List<LabNode> from = known.isEmpty() ? world.nodes : known;
-        LabNode own = world.nodes.get(Math.floorMod(key.hashCode(), world.nodes.size()));
+        List<FleetNode> from = known.isEmpty() ? world.nodes : known;
+        FleetNode own = world.nodes.get(Math.floorMod(key.hashCode(), world.nodes.size()));
         return from.contains(own) ? own : from.get(Math.floorMod(key.hashCode(), from.size()));
     }
 
@@ -114,7 +114,7 @@
             return;
         }
         String id = mail.base + "." + mail.tries++;
-        LabNode node = choose(mail.key);
+        FleetNode node = choose(mail.key);
         world.record(new Fact.HandedIn(world.now(), id, node.name, mail.queueClass, mail.destination, mail.key, mail.base, mail.until));
         String fields = "c=" + classes.get(mail.queueClass).name() + ",t=shop,d=" + left + ",k=" + mail.base + ",dest=" + mail.destination
                 + (mail.tries > 1 ? ",r=1" : "");
@@ -147,12 +147,12 @@
     private final class Waiting implements Network.End {
         private final Mail mail;
         private final String id;
-        private final LabNode node;
+        private final FleetNode node;
         private final StringBuilder text = new StringBuilder();
         private Network.Link link;
         private boolean over;
 
-        Waiting(Mail mail, String id, LabNode node) {
+        Waiting(Mail mail, String id, FleetNode node) {
             this.mail = mail;
             this.id = id;
             this.node = node;
--- a/lab/src/main/java/wrenreach/lab/LabCommand.java
+++ b/lab/src/main/java/wrenreach/lab/LabCommand.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.function.IntConsumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.commons.cli.CommandLine;
@@ -30,6 +31,7 @@
 
     @Override public List<String> usage() {
         return List.of("lab run EXPERIMENT.toml --out DIR [--jobs N]   plays an experiment; DIR gets its figures and report.html",
+                "lab load EXPERIMENT.toml --out DIR   plays the same traffic against real nodes on loopback, in real time",
                 "lab beside DIR DIR --out FILE.html   lays two runs side by side",
                 "lab explore --seeds A..B [--for 60s] [--out found] [--jobs N]   plays the days drawn from these seeds; what breaks a "
                 + "rule is cut down and kept in the folder",
@@ -48,8 +50,8 @@
             List<String> args = line.getArgList();
             String what = args.isEmpty() ? "" : args.get(0);
             int jobs = number(line.getOptionValue("jobs", Integer.toString(Runtime.getRuntime().availableProcessors())));
-            if (what.equals("run") && args.size() == 2 && line.hasOption("out")) {
-                return experiment(Path.of(args.get(1)), Path.of(line.getOptionValue("out")), jobs, out, err);
+            if ((what.equals("run") || what.equals("load")) && args.size() == 2 && line.hasOption("out")) {
+                return experiment(Path.of(args.get(1)), Path.of(line.getOptionValue("out")), what.equals("load") ? 0 : jobs, out, err);
             } else if (what.equals("beside") && args.size() == 3 && line.hasOption("out")) {
                 return beside(Path.of(args.get(1)), Path.of(args.get(2)), Path.of(line.getOptionValue("out")), out);
             } else if (what.equals("explore") && args.size() == 1 && line.getOptionValue("seeds", "").matches("\\d{1,9}\\.\\.\\d{1,9}")) {
@@ -80,6 +82,7 @@
         return Integer.parseInt(text);
     }
 
+    /** jobs: worlds beside each other; 0: real nodes, one day after the other. */
     private static int experiment(Path file, Path folder, int jobs, PrintStream out, PrintStream err)
             throws IOException, InterruptedException {
         Experiment experiment;
@@ -92,18 +95,25 @@
             err.println("wrenreach: " + file + " can't be read: " + e);
             return 2;
         }
-        int count = experiment.sweep().values().size() * experiment.about().dispatchers().size() * experiment.about().seeds();
+        boolean real = jobs == 0;
+        if (real && !Load.objections(experiment).isEmpty()) {
+            Load.objections(experiment).forEach(why -> err.println(file + ": " + why));
+            return 2;
+        }
+        int count = experiment.sweep().values().size() * (real ? 1 : experiment.about().dispatchers().size())
+                * experiment.about().seeds();
         try (RunFiles files = new RunFiles(folder)) {
             boolean shown = System.console() != null;
-            List<Trials.Trial> trials = Trials.play(experiment, jobs, done -> {
+            IntConsumer progress = done -> {
                 if (shown) {
                     err.printf("\r%d of %d days played%s", done, count, done == count ? "\n" : "");
                     err.flush();
                 }
-            });
-            files.write(experiment, trials);
+            };
+            List<Trials.Trial> trials = real ? Load.play(experiment, progress) : Trials.play(experiment, jobs, progress);
+            files.write(experiment, trials, real);
             out.println(experiment.about().about());
-            out.println(Figures.head("emulated, " + experiment.sweep().figure()));
+            out.println(Figures.head((real ? "real nodes, " : "emulated, ") + experiment.sweep().figure()));
             Trials.together(trials).forEach((value, byDispatcher) -> byDispatcher.forEach((dispatcher, figures) ->
                     out.println(figures.line(value + " " + dispatcher))));
             int own = 0;
--- a/lab/src/main/java/wrenreach/lab/LabNode.java
+++ b/lab/src/main/java/wrenreach/lab/LabNode.java
@@ -22,7 +22,7 @@
 import wrenreach.node.Reload;
 
 /** One delivery node as shipped, on the world's loop, network and disk; it can be killed and started again. */
-final class LabNode {
+final class LabNode extends FleetNode {
     /** Where in a turn a kill strikes. */
     enum Moment {
         /** Between two turns. */
@@ -38,14 +38,12 @@
     private static final long RESTART = 500_000_000;
 
     final World world;
-    final InetSocketAddress address;
     private final Config config;
     private final String json;
     private final int zone;
     private final Function<Settings, Dispatcher> module;
     private final FileSystem disk;
     private final Path state;
-    final String name;
     Network.Party party;
     private WireLoop loop;
     private DeliveryNode node;
@@ -65,9 +63,8 @@
 
     LabNode(World world, String name, InetSocketAddress address, Config config, String json, int zone,
             Function<Settings, Dispatcher> module) {
+        super(name, address);
         this.world = world;
-        this.name = name;
-        this.address = address;
         this.config = config;
         this.json = json;
         this.zone = zone;
@@ -85,8 +82,7 @@
         party.zone = zone;
     }
 
-    /** Starts a process on what the disk holds. */
-    void start() {
+    @Override void start() {
         party = new Network.Party(name);
         party.zone = zone;
         over = false;
@@ -106,7 +102,7 @@
         look();
     }
 
-    boolean up() {
+    @Override boolean up() {
         return party.up;
     }
 
@@ -117,6 +113,10 @@
         killed = then;
     }
 
+    @Override void kill() {
+        kill(Moment.BETWEEN);
+    }
+
     /** Kills the process; a torn or unsent turn only if it is of this instant. */
     void kill(Moment moment) {
         if (!party.up) {
@@ -151,8 +151,7 @@
         }
     }
 
-    /** A planned stop; the process starts again so long after it has ended. */
-    void stop(long startsAfter) {
+    @Override void stop(long startsAfter) {
         restartAfter = startsAfter;
         run(() -> node.stop());
     }
--- a/lab/src/main/java/wrenreach/lab/Network.java
+++ b/lab/src/main/java/wrenreach/lab/Network.java
@@ -1,20 +1,15 @@
 package wrenreach.lab;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collections;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
-/** What lies between parties: delay, fragments, cuts, refused and silent connects, half-open connections. */
-final class Network {
+/** What lies between parties: emulated, or the machine's loopback. All of it is used on the world's one thread. */
+abstract class Network {
     /** One end of a connection. */
     interface End {
         /** Bytes have come. */
@@ -46,8 +41,8 @@
         final String name;
         final Set<Link> links = new LinkedHashSet<>();
         /** What it sent at the present instant: a kill at that instant may take it back. */
-        private final List<Flight> sent = new ArrayList<>();
-        private long sentAt = -1;
+        final List<WireNetwork.Flight> sent = new ArrayList<>();
+        long sentAt = -1;
         boolean up = true;
         /** While it is not up: whether it is gone without a word. */
         boolean vanished;
@@ -60,221 +55,42 @@
         }
     }
 
-    /** Something under way on a connection, in its place behind what was sent before. */
-    private static final class Flight {
-        final long at;
-        final Runnable arrives;
-        boolean takenBack;
-
-        Flight(long at, Runnable arrives) {
-            this.at = at;
-            this.arrives = arrives;
-        }
-    }
-
     /** One connection, seen from whom it was asked for (a) and who took it (b). */
-    final class Link {
+    abstract static class Link {
         final Party a;
         final Party b;
-        private End endA;
-        private End endB;
-        private boolean closedA;
-        private boolean closedB;
-        private boolean vanished;
-        private final Deque<Flight> toA = new ArrayDeque<>();
-        private final Deque<Flight> toB = new ArrayDeque<>();
-        private long lastToA;
-        private long lastToB;
 
-        private Link(Party a, Party b) {
+        Link(Party a, Party b) {
             this.a = a;
             this.b = b;
-            a.links.add(this);
-            b.links.add(this);
         }
 
-        /** Sends bytes from one side; they come in order, maybe in pieces. */
-        void send(End from, byte[] bytes) {
-            boolean toB = from == endA;
-            Party sender = toB ? a : b;
-            int pieces = bytes.length > 1 && world.chance(FRAGMENTED) ? 2 + world.below(3) : 1;
-            int at = 0;
-            for (int i = 0; i < pieces; i++) {
-                int end = i == pieces - 1 ? bytes.length : at + world.below(bytes.length - at);
-                byte[] piece = Arrays.copyOfRange(bytes, at, end);
-                at = end;
-                if (piece.length > 0) {
-                    carry(toB, sender, () -> {
-                        End to = toB ? endB : endA;
-                        if (to != null && !(toB ? closedB : closedA)) {
-                            to.received(piece);
-                        } else if (vanished && (toB ? b : a).up) {
-                            // A machine that is back does not know the connection any more.
-                            end(!toB);
-                        }
-                    });
-                }
-            }
-        }
+        /** Sends bytes from one side. */
+        abstract void send(End from, byte[] bytes);
 
         /** One side closes; the other hears of it after all that was sent. */
-        void close(End from) {
-            boolean byA = from == endA;
-            if (byA ? closedA : closedB) {
-                return;
-            }
-            closedA |= byA;
-            closedB |= !byA;
-            (byA ? a : b).links.remove(this);
-            carry(byA, byA ? a : b, () -> end(byA));
-        }
-
-        private void end(boolean atB) {
-            if (!(atB ? closedB : closedA)) {
-                closedA |= !atB;
-                closedB |= atB;
-                (atB ? b : a).links.remove(this);
-                End end = atB ? endB : endA;
-                if (end != null) {
-                    end.closed();
-                }
-            }
-        }
-
-        private void carry(boolean toB, Party sender, Runnable work) {
-            long at = Math.max(world.now() + delay(a, b), (toB ? lastToB : lastToA) + 1);
-            lastToB = toB ? at : lastToB;
-            lastToA = toB ? lastToA : at;
-            Flight flight = new Flight(at, work);
-            if (sender.sentAt != world.now()) {
-                sender.sentAt = world.now();
-                sender.sent.clear();
-            }
-            sender.sent.add(flight);
-            (toB ? this.toB : toA).addLast(flight);
-            world.at(at, () -> arrive(toB));
-        }
-
-        /** What has arrived is heard in its order; what a cut holds up is sent again, as TCP does, until it is over. */
-        private void arrive(boolean atB) {
-            Deque<Flight> line = atB ? toB : toA;
-            while (!line.isEmpty() && line.peekFirst().at <= world.now()) {
-                if (cut(a, b)) {
-                    world.later(SENT_AGAIN, () -> arrive(atB));
-                    return;
-                }
-                Flight flight = line.pollFirst();
-                if (!flight.takenBack) {
-                    flight.arrives.run();
-                }
-            }
-        }
+        abstract void close(End from);
 
         /** Whether the one who asked for the connection has closed its side. */
-        boolean closedByAsker() {
-            return closedA;
-        }
-    }
-
-    private static final double FRAGMENTED = 0.05;
-    private static final long SENT_AGAIN = 50_000_000;
-    private static final long LEAST_DELAY = 150_000, MORE_DELAY = 300_000, BETWEEN_ZONES = 2_000_000;
-
-    private final World world;
-    private final Map<InetSocketAddress, Listener> listeners = new HashMap<>();
-    private final Set<String> cuts = new LinkedHashSet<>();
-
-    Network(World world) {
-        this.world = world;
-    }
-
-    private long delay(Party from, Party to) {
-        return LEAST_DELAY + world.below((int) MORE_DELAY) + (from.zone != to.zone ? BETWEEN_ZONES : 0);
+        abstract boolean closedByAsker();
     }
 
-    private boolean cut(Party a, Party b) {
-        return cuts.contains(a.name + "|" + b.name) || cuts.contains(b.name + "|" + a.name)
-                || cuts.contains(a.name + "|*") || cuts.contains(b.name + "|*");
-    }
+    abstract void listen(InetSocketAddress at, Listener listener);
 
-    /** Nothing gets through between the two from now on; "*": all others. */
-    void cut(String a, String b, boolean on) {
-        if (on) {
-            cuts.add(a + "|" + b);
-        } else {
-            cuts.remove(a + "|" + b);
-        }
-    }
+    abstract void unlisten(InetSocketAddress at, Listener listener);
 
-    void listen(InetSocketAddress at, Listener listener) {
-        listeners.put(at, listener);
-    }
+    /** Asks for a connection; it comes up, is refused, or nothing is heard. */
+    abstract void connect(Party from, InetSocketAddress own, InetSocketAddress to, Connecting asks);
 
-    void unlisten(InetSocketAddress at, Listener listener) {
-        listeners.remove(at, listener);
-    }
+    /** Nothing gets through between the two from now on, or again. */
+    abstract void cut(String a, String b, boolean on);
 
-    /** Asks for a connection. Nothing is heard where a cut lies between, nor before a round trip has passed. */
-    void connect(Party from, InetSocketAddress own, InetSocketAddress to, Connecting asks) {
-        Listener known = listeners.get(to);
-        Party other = known == null ? from : known.party();
-        world.at(world.now() + delay(from, other), () -> {
-            Listener listener = listeners.get(to);
-            if (listener != null && !listener.party().up) {
-                listener.party().missedBy.add(from);
-            }
-            if (listener != null && (cut(from, listener.party()) || listener.party().vanished)) {
-                return;
-            }
-            if (listener == null || !listener.party().up) {
-                world.at(world.now() + delay(from, other), asks::refused);
-                return;
-            }
-            Link link = new Link(from, listener.party());
-            link.endB = listener.accepted(link, own);
-            long back = world.now() + delay(from, other);
-            link.lastToA = back;
-            world.at(back, () -> {
-                if (!from.up) {
-                    link.close(null);
-                } else if (!link.closedA) {
-                    link.endA = asks.opened(link);
-                } else {
-                    asks.refused();
-                }
-            });
-        });
-    }
+    /** The party's process dies: its connections break. takeBack: what it sent at this instant never left it. */
+    abstract void die(Party party, boolean takeBack);
 
-    /** The party's machine is gone without a word: who is connected to it hears nothing. */
-    void vanish(Party party) {
-        party.up = false;
-        party.vanished = true;
-        for (Link link : party.links) {
-            link.closedA |= link.a == party;
-            link.closedB |= link.b == party;
-            link.vanished = true;
-        }
-        party.links.clear();
-    }
+    /** The party's machine is gone without a word. */
+    abstract void vanish(Party party);
 
-    /** The party's process dies: its connections break. takeBack: what it sent at this instant never left it. */
-    void die(Party party, boolean takeBack) {
-        party.up = false;
-        if (takeBack && party.sentAt == world.now()) {
-            party.sent.forEach(flight -> flight.takenBack = true);
-        }
-        for (Link link : List.copyOf(party.links)) {
-            boolean isA = link.a == party;
-            party.missedBy.add(isA ? link.b : link.a);
-            link.closedA |= isA;
-            link.closedB |= !isA;
-            world.at(world.now() + delay(link.a, link.b), () -> {
-                if (!cut(link.a, link.b)) {
-                    link.end(isA);
-                }
-            });
-        }
-        party.links.clear();
-    }
+    /** The party is back. */
+    abstract void revive(Party party);
 }
--- a/lab/src/main/java/wrenreach/lab/Play.java
+++ b/lab/src/main/java/wrenreach/lab/Play.java
@@ -37,9 +37,15 @@
     private String list;
     private int listed;
 
-    private Play(Scenario scenario, Function<Settings, Dispatcher> module) {
+    /** Makes a node of the fleet. */
+    interface NodeMaker {
+        FleetNode node(String name, Config config, String json, int zone);
+    }
+
+    /** Builds what a scenario needs in its world and starts its nodes; nothing comes before {@link #begin}. */
+    Play(Scenario scenario, World world, NodeMaker maker) {
         this.scenario = scenario;
-        world = new World(scenario.seed());
+        this.world = world;
         for (int i = 0; i < scenario.destinations() * scenario.endpoints(); i++) {
             receivers.add(receiver("r" + i, i, i % scenario.destinations()));
         }
@@ -47,11 +53,11 @@
         for (int i = 0; i < scenario.nodes(); i++) {
             InetSocketAddress agent = new InetSocketAddress(host(9, i), PLATFORM);
             config = config(i, agent);
-            world.nodes.add(new LabNode(world, "n" + i, config.listen(), config, json(i, agent), i % scenario.zones(), module));
+            world.nodes.add(maker.node("n" + i, config, json(i, agent), i % scenario.zones()));
             platforms.add(new Platform(world, "n" + i, agent, this::list));
         }
         settings = config.settings();
-        world.nodes.forEach(LabNode::start);
+        world.nodes.forEach(FleetNode::start);
     }
 
     /** Plays a scenario with this module in its nodes, to its end. */
@@ -61,13 +67,16 @@
 
     /** The same, with something done to its world before it begins. */
     static Play of(Scenario scenario, Function<Settings, Dispatcher> module, Consumer<World> before) {
-        Play play = new Play(scenario, module);
-        before.accept(play.world);
-        play.run();
+        World world = new World(scenario.seed());
+        Play play = new Play(scenario, world, (name, config, json, zone) ->
+                new LabNode(world, name, config.listen(), config, json, zone, module));
+        before.accept(world);
+        world.play(play.begin());
         return play;
     }
 
-    private void run() {
+    /** Lets mails come and faults happen from now on; the instant at which all is over. */
+    long begin() {
         long begin = world.now();
         long length = scenario.lengthMs() * MS;
         Clients clients = new Clients(world, scenario.destinations(), scenario.playedClasses());
@@ -76,7 +85,7 @@
             world.at(begin + fault.atMs() * MS, () -> begin(fault));
         }
         int lifetime = scenario.playedClasses().stream().mapToInt(Scenario.QueueClass::lifetimeMs).max().orElseThrow();
-        world.play(begin + length + lifetime * MS + AFTER);
+        return begin + length + lifetime * MS + AFTER;
     }
 
     private Receiver receiver(String name, int number, int destination) {
@@ -140,16 +149,16 @@
 
     private void begin(Scenario.Fault fault) {
         world.record(new Fact.Fault(world.now(), fault.text()));
-        LabNode node = world.nodes.get(Math.floorMod(fault.which(), world.nodes.size()));
+        FleetNode node = world.nodes.get(Math.floorMod(fault.which(), world.nodes.size()));
         Receiver receiver = receivers.get(Math.floorMod(fault.which(), receivers.size()));
         long length = fault.forMs() * MS;
         switch (fault.kind()) {
             case KILL -> {
-                node.kill(LabNode.Moment.BETWEEN);
+                node.kill();
                 world.later(length, () -> restart(node));
             }
-            case KILL_WRITTEN -> node.killAtWrite(1, LabNode.Moment.WRITTEN, () -> world.later(length, () -> restart(node)));
-            case KILL_TORN -> node.killAtWrite(1, LabNode.Moment.TORN, () -> world.later(length, () -> restart(node)));
+            case KILL_WRITTEN -> lab(node).killAtWrite(1, LabNode.Moment.WRITTEN, () -> world.later(length, () -> restart(node)));
+            case KILL_TORN -> lab(node).killAtWrite(1, LabNode.Moment.TORN, () -> world.later(length, () -> restart(node)));
             case DOWN -> {
                 if (receiver.party.up) {
                     receiver.up(false);
@@ -157,18 +166,18 @@
                 }
             }
             case VANISH_NODE -> {
-                node.vanish();
+                lab(node).vanish();
                 world.later(length, () -> restart(node));
             }
             case STOP -> node.stop(length);
             case RELOAD -> {
-                node.reload(PLATFORM + 1);
-                world.later(length, () -> node.reload(PLATFORM));
+                lab(node).reload(PLATFORM + 1);
+                world.later(length, () -> lab(node).reload(PLATFORM));
             }
-            case WRITE_FAILS -> node.failWrite();
+            case WRITE_FAILS -> lab(node).failWrite();
             case DISK_FULL -> {
-                node.fillDisk(true);
-                world.later(length, () -> node.fillDisk(false));
+                lab(node).fillDisk(true);
+                world.later(length, () -> lab(node).fillDisk(false));
             }
             case CUT_CLIENTS -> cut(node.name, "clients", length);
             case VANISH -> {
@@ -187,7 +196,12 @@
         }
     }
 
-    private void restart(LabNode node) {
+    /** Those faults that are not real are played in virtual time only. */
+    private static LabNode lab(FleetNode node) {
+        return (LabNode) node;
+    }
+
+    private void restart(FleetNode node) {
         if (!node.up()) {
             node.start();
         }
@@ -207,7 +221,7 @@
         receivers.add(receiver("r" + number, number, old.destination));
         old.draining = true;
         version++;
-        world.nodes.stream().filter(LabNode::up)
+        world.nodes.stream().filter(FleetNode::up)
                 .forEach(node -> world.record(new Fact.ToldDrain(world.now(), node.name, old.name)));
         platforms.forEach(Platform::changed);
     }
--- a/lab/src/main/java/wrenreach/lab/Receiver.java
+++ b/lab/src/main/java/wrenreach/lab/Receiver.java
@@ -10,10 +10,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** One endpoint: slots, a queue before them, service time, a limit that is cold after a return, the ways in which it fails. */
 final class Receiver implements Network.Listener {
     private static final long SECOND = 1_000_000_000;
+    private static final Pattern CALL = Pattern.compile("(?i)x-call-id: *([^\\r\\n]+)\\r");
 
     /** A call that came; knew: its node had found the receiver gone. */
     private record Came(long at, boolean knew) { }
@@ -77,8 +80,7 @@
             world.network.die(party, false);
             forgetAll();
         } else {
-            party.vanished = false;
-            party.up = true;
+            world.network.revive(party);
             backAt = world.now();
             tipped = false;
             came.clear();
@@ -125,18 +127,21 @@
             private String carried = "";
 
             @Override void begins(String head) {
-                world.record(new Fact.Begun(world.now(), head.lines().findFirst().orElse(""), link.a.name, name));
+                Matcher id = CALL.matcher(head);
+                world.record(new Fact.Begun(world.now(), head.lines().findFirst().orElse(""),
+                        world.asker(link, id.find() ? id.group(1) : "").name, name));
             }
 
             @Override void asked(Request request) {
                 carried = request.headers().getOrDefault("x-call-id", "");
+                Network.Party from = world.asker(link, carried);
                 List<Network.Link> unanswered = open.computeIfAbsent(carried, id -> new ArrayList<>());
                 unanswered.removeIf(Network.Link::closedByAsker);
                 // One that the network held up until the node had given it up is no second copy of the node's.
                 boolean second = !unanswered.isEmpty() && !link.closedByAsker();
                 unanswered.add(link);
-                world.record(new Fact.Called(world.now(), carried, link.a.name, name, destination, second));
-                count(link.a);
+                world.record(new Fact.Called(world.now(), carried, from.name, name, destination, second));
+                count(from);
                 serve(request);
             }
 
@@ -149,7 +154,7 @@
                 } else if (failing == Scenario.Kind.FULL) {
                     long wait = 400 + world.below(600);
                     respond(id, "429 Too Many Requests", "Wait-Ms: " + wait);
-                    world.record(new Fact.ToldWait(world.now(), link.a.name, destination, wait * 1_000_000));
+                    world.record(new Fact.ToldWait(world.now(), world.asker(link, id).name, destination, wait * 1_000_000));
                 } else if (busy >= SLOTS && queue.size() >= QUEUE || draining) {
                     respond(id, "503 Service Unavailable");
                 } else if (busy >= SLOTS) {
--- a/lab/src/main/java/wrenreach/lab/Report.java
+++ b/lab/src/main/java/wrenreach/lab/Report.java
@@ -85,7 +85,7 @@
     }
 
     private String part(RunFiles.Run run) {
-        StringBuilder part = new StringBuilder("<p>All figures are emulated. Delays run from the instant at which a mail's writer had "
+        StringBuilder part = new StringBuilder("<p>How it was played: " + escaped(run.how()) + ". Delays run from the instant at which a mail's writer had "
                 + "it ready to its delivery. Importance: what of the importance handed in was still worth at delivery.</p>");
         part.append("<table><tr><th>").append(escaped(run.figure())).append("</th><th>dispatcher</th><th>mails</th><th>delivered</th>"
                 + "<th>in time</th><th>importance</th><th>p50 ms</th><th>p99 ms</th><th>p99.9 ms</th><th>calls a mail</th>"
--- a/lab/src/main/java/wrenreach/lab/Rules.java
+++ b/lab/src/main/java/wrenreach/lab/Rules.java
@@ -68,16 +68,17 @@
     }
 
     private void excuses(Scenario scenario) {
+        // A process that dies before it serves (its disk is full) has not been back: what counts is the first death.
+        Map<String, Long> gone = new HashMap<>();
         for (Fact fact : facts) {
             if (fact instanceof Fact.Died died) {
                 deaths.computeIfAbsent(died.node(), n -> new ArrayList<>()).add(died.at());
+                gone.putIfAbsent(died.node(), died.at());
             } else if (fact instanceof Fact.Serves ready) {
-                // A process that dies before it serves (its disk is full) has not been back: what counts is the first death.
-                long before = latest(serves.getOrDefault(ready.node(), List.of()), ready.at());
-                long since = deaths.getOrDefault(ready.node(), List.of()).stream().filter(at -> at > before).findFirst()
-                        .orElse(ready.at());
                 serves.computeIfAbsent(ready.node(), n -> new ArrayList<>()).add(ready.at());
-                excused.computeIfAbsent(ready.node(), n -> new ArrayList<>()).add(new Span(since, ready.at() + AFTER_READY));
+                Long since = gone.remove(ready.node());
+                excused.computeIfAbsent(ready.node(), n -> new ArrayList<>())
+                        .add(new Span(since == null ? ready.at() : since, ready.at() + AFTER_READY));
             }
         }
         for (Scenario.Fault fault : scenario.faults()) {
--- a/lab/src/main/java/wrenreach/lab/RunFiles.java
+++ b/lab/src/main/java/wrenreach/lab/RunFiles.java
@@ -27,11 +27,11 @@
  */
 final class RunFiles implements AutoCloseable {
     /** What is known of a run from its folder. figures: by value and dispatcher. */
-    record Run(String about, String figure, Map<Integer, Map<String, Figures>> figures) { }
+    record Run(String about, String how, String figure, Map<Integer, Map<String, Figures>> figures) { }
 
     private static final String RESULTS = "results.csv", DELAYS = "delays.hlog", BREAKERS = "breakers.csv", TIMING = "timing.csv",
             REPORT = "report.html";
-    private static final String[] COLUMNS = {"about", "figure", "value", "dispatcher", "seed", "mails", "delivered", "in_time",
+    private static final String[] COLUMNS = {"about", "how", "figure", "value", "dispatcher", "seed", "mails", "delivered", "in_time",
         "importance", "delivered_importance", "calls", "breaks", "p50_ms", "p99_ms", "p999_ms", "max_ms", "print"};
 
     private final Path folder;
@@ -58,12 +58,13 @@
     }
 
     /** Writes all of it, and only then gives the folder its name. */
-    void write(Experiment experiment, List<Trials.Trial> trials) throws IOException {
-        results(experiment, trials);
-        delays(trials);
+    void write(Experiment experiment, List<Trials.Trial> trials, boolean real) throws IOException {
+        String how = real ? "real nodes on loopback" : "emulated";
+        results(experiment, trials, how);
+        delays(trials, how);
         breakers(trials);
         timing(trials);
-        Run run = new Run(experiment.about().about(), experiment.sweep().figure(), Trials.together(trials));
+        Run run = new Run(experiment.about().about(), how, experiment.sweep().figure(), Trials.together(trials));
         Files.writeString(part.resolve(REPORT), new Report().page(run));
         Files.deleteIfExists(folder);
         Files.move(part, folder, StandardCopyOption.ATOMIC_MOVE);
@@ -74,21 +75,21 @@
                 CSVFormat.DEFAULT.builder().setHeader(columns).get());
     }
 
-    private void results(Experiment experiment, List<Trials.Trial> trials) throws IOException {
+    private void results(Experiment experiment, List<Trials.Trial> trials, String how) throws IOException {
         try (CSVPrinter out = csv(RESULTS, COLUMNS)) {
             for (Trials.Trial t : trials) {
                 Figures f = t.figures();
-                out.printRecord(experiment.about().about(), experiment.sweep().figure(), t.value(), t.dispatcher(), t.seed(), f.mails(),
+                out.printRecord(experiment.about().about(), how, experiment.sweep().figure(), t.value(), t.dispatcher(), t.seed(), f.mails(),
                         f.delivered(), f.inTime(), f.importance(), f.deliveredImportance(), f.calls(), f.broken(), f.delayMs(50),
                         f.delayMs(99), f.delayMs(99.9), f.delays().getMaxValue() / 1000.0, t.print());
             }
         }
     }
 
-    private void delays(List<Trials.Trial> trials) throws IOException {
+    private void delays(List<Trials.Trial> trials, String how) throws IOException {
         try (PrintStream to = new PrintStream(Files.newOutputStream(part.resolve(DELAYS)), false, StandardCharsets.UTF_8)) {
             HistogramLogWriter log = new HistogramLogWriter(to);
-            log.outputComment("[emulated delays in microseconds, from the instant a writer had the mail ready]");
+            log.outputComment("[" + how + ": delays in microseconds, from the instant a writer had the mail ready]");
             log.outputLogFormatVersion();
             log.outputLegend();
             Trials.together(trials).forEach((value, byDispatcher) -> byDispatcher.forEach((dispatcher, figures) -> {
@@ -146,10 +147,12 @@
             }
         }
         String about = "";
+        String how = "";
         String figure = "";
         Map<Integer, Map<String, List<Figures>>> days = new LinkedHashMap<>();
         for (CSVRecord line : records(folder.resolve(RESULTS))) {
             about = line.get("about");
+            how = line.get("how");
             figure = line.get("figure");
             int value = number(line, "value");
             String point = tag(value, line.get("dispatcher"));
@@ -167,7 +170,7 @@
         Map<Integer, Map<String, Figures>> merged = new LinkedHashMap<>();
         days.forEach((value, byDispatcher) -> byDispatcher.forEach((dispatcher, figures) -> merged
                 .computeIfAbsent(value, v -> new LinkedHashMap<>()).put(dispatcher, Figures.together(figures))));
-        return new Run(about, figure, merged);
+        return new Run(about, how, figure, merged);
     }
 
     private static List<CSVRecord> records(Path file) throws IOException {
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/SocketNetwork.java
@@ -0,0 +1,171 @@
+package wrenreach.lab;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Connections of the stand-ins over the machine's loopback. It can't cut, and no machine vanishes. */
+final class SocketNetwork extends Network {
+    private static final int CONNECT_MS = 1000;
+
+    private static final class Door {
+        final Listener listener;
+        Channel channel;
+
+        Door(Listener listener) {
+            this.listener = listener;
+        }
+    }
+
+    private final EventLoop loop;
+    private final Map<InetSocketAddress, Door> doors = new LinkedHashMap<>();
+
+    SocketNetwork(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    private static final class Socket extends Link {
+        private final Channel channel;
+        private End end;
+
+        private Socket(Party a, Party b, Channel channel) {
+            super(a, b);
+            this.channel = channel;
+        }
+
+        @Override void send(End from, byte[] bytes) {
+            channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+        }
+
+        @Override void close(End from) {
+            channel.close();
+        }
+
+        @Override boolean closedByAsker() {
+            return !channel.isActive();
+        }
+    }
+
+    /** Hands on what comes to the end that the link has by then. */
+    private static final class Hears extends ChannelInboundHandlerAdapter {
+        private final Socket link;
+
+        Hears(Socket link) {
+            this.link = link;
+        }
+
+        @Override public void channelRead(ChannelHandlerContext context, Object message) {
+            ByteBuf bytes = (ByteBuf) message;
+            try {
+                if (link.end != null) {
+                    link.end.received(ByteBufUtil.getBytes(bytes));
+                }
+            } finally {
+                bytes.release();
+            }
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext context) {
+            link.a.links.remove(link);
+            link.b.links.remove(link);
+            if (link.end != null) {
+                link.end.closed();
+            }
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // The other process is gone: channelInactive follows.
+            context.close();
+        }
+    }
+
+    @Override void listen(InetSocketAddress at, Listener listener) {
+        Door door = new Door(listener);
+        doors.put(at, door);
+        open(at, door);
+    }
+
+    private void open(InetSocketAddress at, Door door) {
+        ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override protected void initChannel(Channel channel) {
+                        Socket link = new Socket(new Party("?"), door.listener.party(), channel);
+                        link.b.links.add(link);
+                        link.end = door.listener.accepted(link, (InetSocketAddress) channel.remoteAddress());
+                        channel.pipeline().addLast(new Hears(link));
+                    }
+                });
+        ChannelFuture bound = server.bind(at);
+        door.channel = bound.channel();
+        bound.addListener(done -> {
+            if (!done.isSuccess()) {
+                throw new IllegalStateException("can't listen on " + at + ": " + done.cause().getMessage(), done.cause());
+            }
+        });
+    }
+
+    @Override void unlisten(InetSocketAddress at, Listener listener) {
+        Door door = doors.remove(at);
+        if (door != null) {
+            door.channel.close();
+        }
+    }
+
+    @Override void connect(Party from, InetSocketAddress own, InetSocketAddress to, Connecting asks) {
+        Socket[] link = new Socket[1];
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(new ChannelInitializer<Channel>() {
+                    @Override protected void initChannel(Channel channel) {
+                        link[0] = new Socket(from, new Party(to.toString()), channel);
+                        channel.pipeline().addLast(new Hears(link[0]));
+                    }
+                }).connect(to).addListener(done -> {
+                    if (done.isSuccess()) {
+                        from.links.add(link[0]);
+                        link[0].end = asks.opened(link[0]);
+                    } else {
+                        asks.refused();
+                    }
+                });
+    }
+
+    @Override void cut(String a, String b, boolean on) {
+        throw new UnsupportedOperationException("loopback is never cut");
+    }
+
+    @Override void die(Party party, boolean takeBack) {
+        party.up = false;
+        doors.values().stream().filter(door -> door.listener.party() == party).forEach(door -> door.channel.close());
+        List.copyOf(party.links).forEach(link -> ((Socket) link).channel.close());
+        party.links.clear();
+    }
+
+    @Override void vanish(Party party) {
+        throw new UnsupportedOperationException("no machine vanishes from loopback");
+    }
+
+    @Override void revive(Party party) {
+        party.up = true;
+        doors.forEach((at, door) -> {
+            if (door.listener.party() == party) {
+                open(at, door);
+            }
+        });
+    }
+}
--- a/lab/src/main/java/wrenreach/lab/World.java
+++ b/lab/src/main/java/wrenreach/lab/World.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -17,7 +18,7 @@
  * next. Times in nanoseconds since the world's begin. All chance comes from one generator, so the same seed and build
  * give the same log to the byte.
  */
-final class World {
+class World {
     /** The wall's clock when a world begins, in milliseconds. */
     static final long WALL = 1_800_000_000_000L;
     /** The instant at which a world begins. */
@@ -25,8 +26,8 @@
 
     private record Due(long at, long order, Runnable work) { }
 
-    final Network network = new Network(this);
-    final List<LabNode> nodes = new ArrayList<>();
+    final Network network;
+    final List<FleetNode> nodes = new ArrayList<>();
     final List<Fact> facts = new ArrayList<>();
     private final PriorityQueue<Due> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
             : Long.compare(a.order, b.order));
@@ -49,6 +50,12 @@
     };
 
     World(long seed) {
+        this(seed, WireNetwork::new);
+    }
+
+    /** A world on a network of its own. */
+    World(long seed, Function<World, Network> network) {
+        this.network = network.apply(this);
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         try {
             hash = MessageDigest.getInstance("SHA-256");
@@ -63,7 +70,7 @@
 
     /** Milliseconds of the wall's clock. */
     long wallMillis() {
-        return WALL + now / 1_000_000;
+        return WALL + now() / 1_000_000;
     }
 
     boolean chance(double share) {
@@ -86,7 +93,7 @@
     }
 
     void later(long delay, Runnable work) {
-        at(now + delay, work);
+        at(now() + delay, work);
     }
 
     /** Puts a fact on record. */
@@ -105,6 +112,11 @@
         now = Math.max(now, until);
     }
 
+    /** Which node asked over a connection; call: the id that the call came under, empty where it is not known. */
+    Network.Party asker(Network.Link link, String call) {
+        return link.a;
+    }
+
     /** What stands for all facts so far. */
     String print() {
         try {
--- a/lab/src/test/java/wrenreach/lab/LabTest.java
+++ b/lab/src/test/java/wrenreach/lab/LabTest.java
@@ -195,7 +195,7 @@
         for (int write = 1; write <= 60; write++) {
             int at = write;
             Play play = Play.of(day, Choice::new, world -> {
-                LabNode node = world.nodes.get(0);
+                LabNode node = (LabNode) world.nodes.get(0);
                 node.killAtWrite(at, moment, () -> world.later(600_000_000, node::start));
             });
             assertThat(Rules.judge(day, play.world.facts, play.settings, play.world.now())).as("killed at write " + write).isEmpty();
