--- a/app/src/main/java/wrenreach/app/Main.java
+++ b/app/src/main/java/wrenreach/app/Main.java
@@ -143,6 +143,10 @@
             System.err.println("wrenreach: state folder " + state + " is not there");
             return 1;
         }
+        if (Files.isDirectory(state.resolve(Journal.STORE))) {
+            System.err.println("wrenreach: what " + state + " owes lies in its store: wrenreach store held " + state);
+            return 1;
+        }
         try {
             List<HeldMail> owed = Journal.read(state);
             for (HeldMail mail : owed) {
--- a/app/src/main/java/wrenreach/app/Serve.java
+++ b/app/src/main/java/wrenreach/app/Serve.java
@@ -15,6 +15,7 @@
 import wrenreach.frame.Running;
 import wrenreach.frame.Subsystem;
 import wrenreach.held.Journal;
+import wrenreach.held.Ledger;
 import wrenreach.log.JsonLog;
 import wrenreach.log.LogEvent;
 import wrenreach.node.Config;
@@ -89,10 +90,11 @@
             operator = OperatorFile.read(operatorFile, Parts.sections());
             log(operator);
         }
-        Journal journal;
+        Ledger journal;
         try {
             Files.createDirectories(state);
-            journal = Journal.open(state, read.diskBytes());
+            journal = operatorFile == null ? null : ledger(state, read.diskBytes());
+            journal = journal == null ? Journal.open(state, read.diskBytes()) : journal;
         } catch (IOException e) {
             err.println("wrenreach: state folder " + state + " can't be used: " + e);
             return 1;
@@ -130,6 +132,26 @@
         }
     }
 
+    /** What the operator's file puts in place of the journal; null: nothing. */
+    private Ledger ledger(Path state, long limit) throws Subsystem.CantStart {
+        for (Subsystem<?> subsystem : Parts.subsystems()) {
+            Ledger brought = ledger(subsystem, state, limit);
+            if (brought != null) {
+                return brought;
+            }
+        }
+        return null;
+    }
+
+    private <S extends Record> Ledger ledger(Subsystem<S> subsystem, Path state, long limit) throws Subsystem.CantStart {
+        var section = operator.section(subsystem.section());
+        try {
+            return section.isEmpty() ? null : subsystem.ledger(section.get(), state, limit).orElse(null);
+        } catch (Subsystem.CantStart e) {
+            throw new Subsystem.CantStart(operatorFile + ": " + subsystem.section().name() + ": " + e.getMessage());
+        }
+    }
+
     private <S extends Record> void start(Subsystem<S> subsystem, DeliveryNode node) throws Subsystem.CantStart {
         var section = operator.section(subsystem.section());
         if (section.isPresent()) {
--- a/lab/src/main/java/wrenreach/lab/Experiment.java
+++ b/lab/src/main/java/wrenreach/lab/Experiment.java
@@ -32,7 +32,9 @@
                  @Key(about = "receivers that mails are for", byDefault = "3", least = "1", most = "2000") int destinations,
                  @Key(about = "endpoints of each", byDefault = "1", least = "1", most = "64") int endpoints,
                  @Key(about = "zones that nodes and endpoints are spread over", byDefault = "1", least = "1", most = "8")
-                 int zones) { }
+                 int zones,
+                 @Key(about = "where nodes keep what they owe; real nodes have the store with sync", byDefault = "journal",
+                         oneOf = {"journal", "store"}) String ledger) { }
 
     /** [traffic]. */
     record Traffic(@Key(about = "mails a second over all nodes", least = "1", most = "1000000") int rate,
@@ -46,7 +48,7 @@
 
     /** [sweep]. */
     record Sweep(@Key(about = "what is swept; size multiplies nodes, destinations and rate", oneOf = {"size", "nodes",
-            "destinations", "endpoints", "zones", "rate", "length"}) String figure,
+            "destinations", "endpoints", "zones", "ledger", "rate", "length"}) String figure,
                  @Key(about = "its values, the length in milliseconds") List<Integer> values) { }
 
     /** An experiment's file can't be used; every fault is a line of the message. */
@@ -108,6 +110,7 @@
         figures.put(Scenario.Figure.DESTINATIONS, fleet.destinations);
         figures.put(Scenario.Figure.ENDPOINTS, fleet.endpoints);
         figures.put(Scenario.Figure.ZONES, fleet.zones);
+        figures.put(Scenario.Figure.LEDGER, fleet.ledger.equals("store") ? 2 : 1);
         figures.put(Scenario.Figure.RATE, read.section(TRAFFIC).orElseThrow().rate);
         figures.put(Scenario.Figure.LENGTH, lengthMs(read));
         schedule.sort(Comparator.comparingInt(Scenario.Fault::atMs));
--- a/lab/src/main/java/wrenreach/lab/Explore.java
+++ b/lab/src/main/java/wrenreach/lab/Explore.java
@@ -57,7 +57,8 @@
         if (s.nodes() > 1) {
             all.add(s.with(Scenario.Figure.NODES, s.nodes() - 1));
         }
-        for (Scenario.Figure figure : List.of(Scenario.Figure.DESTINATIONS, Scenario.Figure.ENDPOINTS, Scenario.Figure.ZONES)) {
+        for (Scenario.Figure figure : List.of(Scenario.Figure.DESTINATIONS, Scenario.Figure.ENDPOINTS, Scenario.Figure.ZONES,
+                Scenario.Figure.LEDGER)) {
             if (s.figures().get(figure) > 1) {
                 all.add(s.with(figure, 1));
             }
--- a/lab/src/main/java/wrenreach/lab/LabNode.java
+++ b/lab/src/main/java/wrenreach/lab/LabNode.java
@@ -12,10 +12,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.List;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import wrenreach.api.Dispatcher;
 import wrenreach.api.Settings;
 import wrenreach.held.Journal;
+import wrenreach.held.Ledger;
+import wrenreach.ledger.StoreLedger;
 import wrenreach.net.Sockets;
 import wrenreach.node.Config;
 import wrenreach.node.DeliveryNode;
@@ -36,11 +40,15 @@
     private static final String JOURNAL = "journal";
     /** When the platform starts a process again that has ended by itself. */
     private static final long RESTART = 500_000_000;
+    /** For how long ids that have ended are known, in microseconds. */
+    private static final long REMEMBERED = 600_000_000;
+    private static final int SALT = 1;
 
     final World world;
     private final Config config;
     private final String json;
     private final int zone;
+    private final boolean store;
     private final Function<Settings, Dispatcher> module;
     private final FileSystem disk;
     private final Path state;
@@ -50,7 +58,10 @@
     /** The process has ended by itself. */
     private boolean over;
     private long restartAfter;
-    private Journal journal;
+    private Ledger journal;
+    /** The files that the last turn found. */
+    private List<String> filesBefore = List.of();
+    private List<String> files = List.of();
     /** The instant at which the world looks at the node next: one event a node stands in the world's queue for it. */
     private long looksAt = Long.MAX_VALUE;
     private long size;
@@ -61,13 +72,14 @@
     private Moment killMoment = Moment.BETWEEN;
     private Runnable killed = () -> { };
 
-    LabNode(World world, String name, InetSocketAddress address, Config config, String json, int zone,
+    LabNode(World world, String name, InetSocketAddress address, Config config, String json, int zone, boolean store,
             Function<Settings, Dispatcher> module) {
         super(name, address);
         this.world = world;
         this.config = config;
         this.json = json;
         this.zone = zone;
+        this.store = store;
         this.module = module;
         disk = Jimfs.newFileSystem(Configuration.unix().toBuilder().setMaxSize(2 * config.diskBytes())
                 .setBlockSize(512).setMaxCacheSize(0).build());
@@ -89,7 +101,9 @@
         restartAfter = RESTART;
         loop = new WireLoop(world.ticker);
         try {
-            journal = Journal.open(state, config.diskBytes());
+            journal = store ? StoreLedger.open(state, config.diskBytes(), false, REMEMBERED, config.diskBytes() / 10,
+                    world::wallMillis, SALT) : Journal.open(state, config.diskBytes());
+            filesBefore = files = files();
             size = sizeBefore = journal.size();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -127,9 +141,7 @@
         try {
             journal.close();
             if (lastTurn && moment == Moment.TORN && size > sizeBefore) {
-                try (FileChannel file = FileChannel.open(state.resolve(JOURNAL), StandardOpenOption.WRITE)) {
-                    file.truncate(sizeBefore + world.below((int) (size - sizeBefore)));
-                }
+                tear((int) (size - sizeBefore));
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -197,6 +209,15 @@
         }
     }
 
+    private void noteFiles() {
+        try {
+            filesBefore = files;
+            files = files();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static void fill(FileChannel file, int block) {
         try {
             while (file.write(ByteBuffer.allocate(block)) > 0) {
@@ -208,6 +229,26 @@
         }
     }
 
+    private List<String> files() throws IOException {
+        Path folder = store ? state.resolve(Journal.STORE) : state;
+        try (Stream<Path> all = Files.list(folder)) {
+            return all.map(file -> file.getFileName().toString()).filter(name -> name.startsWith(store ? "segment" : JOURNAL)).sorted()
+                    .toList();
+        }
+    }
+
+    /** Takes back part of the last write; not where the turn went on to delete files, which comes after it. */
+    private void tear(int written) throws IOException {
+        List<String> now = files();
+        if (!now.containsAll(filesBefore)) {
+            return;
+        }
+        Path folder = store ? state.resolve(Journal.STORE) : state;
+        try (FileChannel file = FileChannel.open(folder.resolve(now.get(now.size() - 1)), StandardOpenOption.WRITE)) {
+            file.truncate(Math.max(0, file.size() - 1 - world.below(written)));
+        }
+    }
+
     private Network network() {
         return world.network;
     }
@@ -256,6 +297,9 @@
         long after = journal.size();
         if (after != size) {
             writes++;
+            if (store) {
+                noteFiles();
+            }
             writtenAt = world.now();
             sizeBefore = after > size ? size : after;
             size = after;
--- a/lab/src/main/java/wrenreach/lab/Load.java
+++ b/lab/src/main/java/wrenreach/lab/Load.java
@@ -64,7 +64,7 @@
         long begin = System.nanoTime();
         try {
             Play play = loop.submit(() -> new Play(day, world, (name, config, json, zone) -> {
-                ProcessNode node = new ProcessNode(world, loop, name, config.listen(), json, folder.resolve(name));
+                ProcessNode node = new ProcessNode(world, loop, name, config.listen(), json, day.store(), folder.resolve(name));
                 nodes.add(node);
                 return node;
             })).get();
--- a/lab/src/main/java/wrenreach/lab/Play.java
+++ b/lab/src/main/java/wrenreach/lab/Play.java
@@ -69,7 +69,7 @@
     static Play of(Scenario scenario, Function<Settings, Dispatcher> module, Consumer<World> before) {
         World world = new World(scenario.seed());
         Play play = new Play(scenario, world, (name, config, json, zone) ->
-                new LabNode(world, name, config.listen(), config, json, zone, module));
+                new LabNode(world, name, config.listen(), config, json, zone, scenario.store(), module));
         before.accept(world);
         world.play(play.begin());
         return play;
--- a/lab/src/main/java/wrenreach/lab/ProcessNode.java
+++ b/lab/src/main/java/wrenreach/lab/ProcessNode.java
@@ -18,6 +18,7 @@
 final class ProcessNode extends FleetNode {
     /** When the platform starts a process again that has ended by itself; between two looks whether it listens. */
     private static final long RESTART = 500_000_000, LOOK = 20_000_000;
+    private static final String OPERATOR = "operator.toml";
     /** Options as small machines have them. */
     private static final List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-Xms24m", "-Xmx48m", "-XX:MaxDirectMemorySize=68m",
             "-XX:TieredStopAtLevel=1");
@@ -31,7 +32,8 @@
     private boolean over;
     private long restartAfter;
 
-    ProcessNode(World world, EventLoop loop, String name, InetSocketAddress address, String json, Path folder) {
+    ProcessNode(World world, EventLoop loop, String name, InetSocketAddress address, String json, boolean store,
+            Path folder) {
         super(name, address);
         this.world = world;
         this.loop = loop;
@@ -39,6 +41,9 @@
         try {
             Files.createDirectories(folder.resolve("state"));
             Files.writeString(folder.resolve("config.json"), json);
+            if (store) {
+                Files.writeString(folder.resolve(OPERATOR), "[store]\ndurability = \"sync\"\n");
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -59,6 +64,9 @@
         words.addAll(OPTIONS);
         words.addAll(List.of("-cp", classPath(), "wrenreach.app.Launch", "serve", "--config",
                 folder.resolve("config.json").toString(), "--state", folder.resolve("state").toString()));
+        if (Files.exists(folder.resolve(OPERATOR))) {
+            words.addAll(List.of("--operator", folder.resolve(OPERATOR).toString()));
+        }
         try {
             process = new ProcessBuilder(words).redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
--- a/lab/src/main/java/wrenreach/lab/Scenario.java
+++ b/lab/src/main/java/wrenreach/lab/Scenario.java
@@ -19,9 +19,9 @@
 record Scenario(long seed, Map<Figure, Integer> figures, List<QueueClass> classes, List<Fault> faults) {
     private static final int MOST = 100_000_000;
 
-    /** The numbers of a day; the rate in mails a second over all nodes, the length in milliseconds. */
+    /** The numbers of a day; ledger: 1 the journal, 2 the store; the rate in mails a second over all nodes, the length in ms. */
     enum Figure {
-        NODES(1), DESTINATIONS(1), ENDPOINTS(1), ZONES(1), RATE(20), LENGTH(10_000);
+        NODES(1), DESTINATIONS(1), ENDPOINTS(1), ZONES(1), LEDGER(1), RATE(20), LENGTH(10_000);
 
         final int byDefault;
 
@@ -103,6 +103,11 @@
         return figures.get(Figure.ZONES);
     }
 
+    /** Whether nodes keep what they owe in the store. */
+    boolean store() {
+        return figures.get(Figure.LEDGER) == 2;
+    }
+
     int rate() {
         return figures.get(Figure.RATE);
     }
@@ -126,6 +131,7 @@
         figures.put(Figure.DESTINATIONS, 1 + random.nextInt(4));
         figures.put(Figure.ENDPOINTS, 1 + random.nextInt(3));
         figures.put(Figure.ZONES, 1 + random.nextInt(2));
+        figures.put(Figure.LEDGER, 1 + random.nextInt(2));
         figures.put(Figure.RATE, 10 + random.nextInt(40));
         figures.put(Figure.LENGTH, length);
         List<QueueClass> classes = new ArrayList<>();
--- a/lab/src/test/java/wrenreach/lab/LabTest.java
+++ b/lab/src/test/java/wrenreach/lab/LabTest.java
@@ -188,9 +188,9 @@
 
     /** Guards what is owed: killed at every write of a small day, in the middle of it and just after, nothing is lost. */
     @ParameterizedTest
-    @EnumSource(value = LabNode.Moment.class, names = {"WRITTEN", "TORN"})
-    void aKillAtAnyWriteLosesAndDoublesNothing(LabNode.Moment moment) throws Exception {
-        Scenario day = Scenario.parse(List.of("seed 4", "rate 6", "length 2500", "fault erring 0 at 800 for 900"));
+    @CsvSource({"WRITTEN, 1", "TORN, 1", "WRITTEN, 2", "TORN, 2"})
+    void aKillAtAnyWriteLosesAndDoublesNothing(LabNode.Moment moment, int ledger) throws Exception {
+        Scenario day = Scenario.parse(List.of("seed 4", "ledger " + ledger, "rate 6", "length 2500", "fault erring 0 at 800 for 900"));
         int killed = 0;
         for (int write = 1; write <= 60; write++) {
             int at = write;
--- /dev/null
+++ b/ledger/src/main/java/wrenreach/ledger/StoreCommand.java
@@ -0,0 +1,231 @@
+package wrenreach.ledger;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import wrenreach.frame.Command;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Journal;
+import wrenreach.store.Batch;
+import wrenreach.store.FolderDisk;
+import wrenreach.store.Store;
+
+/** wrenreach store: looks at a store's folder, mends it, and measures one. */
+final class StoreCommand implements Command {
+    private static final int SOUND = 0, DAMAGED = 1, NO_STORE = 2;
+    private static final int BODY = 200, BATCH = 10;
+    private static final long ROOM = 1L << 40;
+
+    @Override public String name() {
+        return "store";
+    }
+
+    @Override public List<String> usage() {
+        return List.of("store check FOLDER   whether a store is sound (0), damaged (1) or none (2); nothing is changed",
+                "store stats FOLDER   how many keys and bytes it holds",
+                "store held FOLDER    the mails that it owes",
+                "store dump FOLDER    each key and value, in the order of the keys",
+                "store repair FOLDER --copy DIR   keeps what can't be read in DIR and leaves a sound store",
+                "store bench FOLDER --records N   fills a new store and opens it again; it stays in the folder");
+    }
+
+    @Override public int run(List<String> words, PrintStream out, PrintStream err) {
+        Options known = new Options();
+        known.addOption(Option.builder().longOpt("records").hasArg().get());
+        known.addOption(Option.builder().longOpt("copy").hasArg().get());
+        try {
+            CommandLine line = new DefaultParser().parse(known, words.toArray(String[]::new));
+            List<String> args = line.getArgList();
+            if (args.size() != 2) {
+                throw new ParseException("store: what is to be done with which folder?");
+            }
+            Path folder = Path.of(args.get(1));
+            switch (args.get(0)) {
+                case "bench":
+                    return bench(folder, records(line.getOptionValue("records", "")), out);
+                case "check":
+                case "stats":
+                case "dump":
+                    return look(args.get(0), store(folder), out);
+                case "held":
+                    return held(store(folder), out);
+                case "repair":
+                    if (!line.hasOption("copy")) {
+                        throw new ParseException("store repair: --copy DIR is needed, for what can't be read");
+                    }
+                    return repair(store(folder), Path.of(line.getOptionValue("copy")), out);
+                default:
+                    throw new ParseException("store " + args.get(0) + ": not known");
+            }
+        } catch (ParseException e) {
+            err.println("wrenreach: " + e.getMessage());
+            usage().forEach(use -> err.println("usage: wrenreach " + use));
+            return NO_STORE;
+        } catch (NoStore | java.nio.file.NoSuchFileException | java.nio.file.NotDirectoryException e) {
+            err.println("wrenreach: " + e.getMessage() + " is no store");
+            return NO_STORE;
+        } catch (Store.Unusable e) {
+            err.println("wrenreach: " + e.getMessage());
+            return NO_STORE;
+        } catch (IOException e) {
+            err.println("wrenreach: " + e.getMessage());
+            return DAMAGED;
+        }
+    }
+
+    /** A folder that is not one. */
+    private static final class NoStore extends IOException {
+        private static final long serialVersionUID = 1;
+
+        NoStore(Path folder) {
+            super(folder.toString());
+        }
+    }
+
+    private static int records(String text) throws ParseException {
+        if (!text.matches("[1-9]\\d{0,7}")) {
+            throw new ParseException("store bench: --records is a number from 1 to 99999999, not \"" + text + "\"");
+        }
+        return Integer.parseInt(text);
+    }
+
+    /** The store's own folder: a state folder holds it under its name. */
+    private static Path store(Path folder) throws IOException {
+        Path under = folder.resolve(Journal.STORE);
+        Path found = Files.isDirectory(under) ? under : folder;
+        if (!Store.isStore(new FolderDisk(found))) {
+            throw new NoStore(folder);
+        }
+        return found;
+    }
+
+    private static int look(String what, Path folder, PrintStream out) throws IOException {
+        try (Store store = Store.look(new FolderDisk(folder))) {
+            Store.Stats stats = store.stats();
+            if (what.equals("dump")) {
+                store.forEach((key, value) -> out.println(printable(key) + " " + HexFormat.of().formatHex(value)));
+            } else {
+                out.printf(Locale.ROOT, "%d keys, %d bytes live, %d bytes in %d files, %d batches, the last is number %d%n", stats.keys(),
+                        stats.live(), stats.used(), stats.segments(), store.recovered().batches(), stats.sequence());
+            }
+            if (what.equals("check")) {
+                // Each value is read, not only the batches.
+                store.forEach((key, value) -> { });
+            }
+            if (store.recovered().torn() > 0) {
+                out.println("a last write of " + store.recovered().torn() + " bytes was never finished; the next start cuts it off");
+            }
+            store.recovered().holes().forEach(hole -> out.println("damaged: " + hole.text()));
+            return store.recovered().holes().isEmpty() ? SOUND : DAMAGED;
+        }
+    }
+
+    private static int held(Path folder, PrintStream out) throws IOException {
+        List<HeldMail> owed = StoreLedger.read(folder);
+        for (HeldMail mail : owed) {
+            String end = mail.ending == null ? "" : mail.ending.deferred() ? " deferred" : " undeliverable";
+            out.printf("%s class=%s dest=%d until=%s connects=%d bytes=%d%s%n", mail.submission.id(), mail.submission.queueClass(),
+                    mail.submission.destination(), Instant.ofEpochMilli(mail.endsBy / 1000), mail.connects.size(),
+                    mail.submission.body().length, end);
+        }
+        out.println(owed.size() + " mails owed");
+        return SOUND;
+    }
+
+    private static String printable(String key) {
+        return key.replace("\\", "\\\\").replace("\0", "\\0").replace("\n", "\\n").replace(" ", "\\s");
+    }
+
+    /** Copies the files as they are, writes what can be read into a new store, and puts that in their place. */
+    private static int repair(Path folder, Path copy, PrintStream out) throws IOException {
+        Files.createDirectories(copy);
+        try (Stream<Path> there = Files.list(copy)) {
+            if (there.findAny().isPresent()) {
+                throw new IOException(copy + " is not empty");
+            }
+        }
+        Path fresh = folder.resolveSibling(folder.getFileName() + ".repaired");
+        Path old = folder.resolveSibling(folder.getFileName() + ".damaged");
+        if (Files.exists(fresh) || Files.exists(old)) {
+            throw new IOException(fresh + " or " + old + " is left from an earlier repair");
+        }
+        // Taken first: a node that has the store keeps it.
+        try (FolderDisk held = new FolderDisk(folder)) {
+            held.lock();
+            try (Stream<Path> files = Files.list(folder)) {
+                for (Path file : files.toList()) {
+                    Files.copy(file, copy.resolve(file.getFileName().toString()));
+                }
+            }
+            Files.createDirectories(fresh);
+            int kept = 0;
+            int holes;
+            try (Store from = Store.look(new FolderDisk(folder));
+                    Store to = Store.open(new FolderDisk(fresh), ROOM, true, new java.security.SecureRandom().nextInt())) {
+                int[] count = {0};
+                from.forEach((key, value) -> {
+                    try {
+                        to.write(new Batch().put(key, value));
+                        count[0]++;
+                    } catch (IOException e) {
+                        throw new java.io.UncheckedIOException(e);
+                    }
+                });
+                to.sync().force();
+                kept = count[0];
+                holes = from.recovered().holes().size();
+            }
+            Files.move(folder, old);
+            Files.move(fresh, folder);
+            out.println(kept + " keys kept, " + holes + " holes; the files as they were are in " + copy);
+        }
+        try (Stream<Path> files = Files.list(old)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(old);
+        return SOUND;
+    }
+
+    private static int bench(Path folder, int records, PrintStream out) throws IOException {
+        Files.createDirectories(folder);
+        try (Stream<Path> there = Files.list(folder)) {
+            if (there.findAny().isPresent()) {
+                throw new IOException(folder + " is not empty");
+            }
+        }
+        long begin = System.nanoTime();
+        try (Store store = Store.open(new FolderDisk(folder), ROOM, false, new java.security.SecureRandom().nextInt())) {
+            byte[] body = new byte[BODY];
+            for (int i = 0; i < records;) {
+                Batch batch = new Batch();
+                for (int j = 0; j < BATCH && i < records; j++, i++) {
+                    batch.put("t" + i, body);
+                }
+                store.write(batch);
+            }
+        }
+        long filled = System.nanoTime();
+        try (Store store = Store.open(new FolderDisk(folder), ROOM, false, 0)) {
+            long opened = System.nanoTime();
+            Runtime java = Runtime.getRuntime();
+            System.gc();
+            out.printf(Locale.ROOT, "%d records of %d bytes in batches of %d: %.0f a second; opened again in %.0f ms; %.1f MB of heap%n",
+                    records, BODY, BATCH, records / ((filled - begin) / 1e9), (opened - filled) / 1e6,
+                    (java.totalMemory() - java.freeMemory()) / 1e6);
+            return store.stats().keys() == records ? SOUND : DAMAGED;
+        }
+    }
+}
--- /dev/null
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -0,0 +1,428 @@
+package wrenreach.ledger;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import wrenreach.held.Ending;
+import wrenreach.held.Entry;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Journal;
+import wrenreach.held.Ledger;
+import wrenreach.held.PastConnect;
+import wrenreach.log.LogEvent;
+import wrenreach.store.Batch;
+import wrenreach.store.FolderDisk;
+import wrenreach.store.Store;
+
+/**
+ * What is owed, in a store: a key for each mail (t), for each of its connects (c) and what became of it (n), for its ending
+ * (e), and for the id of one that has ended (r). A turn's records are one batch. Where the disk takes no more, ballast is let go:
+ * what is owed goes on in its room, and new mails are refused until it is back.
+ */
+public final class StoreLedger implements Ledger {
+    private static final System.Logger LOG = System.getLogger(StoreLedger.class.getName());
+    private static final String JOURNAL = "journal";
+    private static final char TAKEN = 't', CONNECT = 'c', NEVER_RAN = 'n', ENDING = 'e', REMEMBERED = 'r';
+    /** The part of the room that is kept for what is owed already, for when the disk is full. */
+    private static final double BALLAST_PART = 0.125;
+    /** Bytes that a connect or an ending may take; a remembered id beside its length. */
+    private static final int RECORD = 160, ID = 64;
+    /** Ids forgotten in one turn; times that a write waits for what has to be forced before. */
+    private static final int FORGOTTEN_A_TURN = 64, FORCED_FOR_ROOM = 64;
+
+    private final Store store;
+    private final Ballast ballast;
+    private final boolean sync;
+    private final long remember;
+    private final long rememberBytes;
+    private final LongSupplier wallMillis;
+    private final Map<String, HeldMail> owed = new LinkedHashMap<>();
+    /** When each id that is remembered ended, in wall microseconds; the oldest first. */
+    private final Map<String, Long> remembered = new LinkedHashMap<>();
+    private long rememberedBytes;
+    private final boolean resumed;
+    private long order;
+    private Batch pending = new Batch();
+    private Executor loop = Runnable::run;
+    private Runnable failed = () -> { };
+    private ExecutorService forcing;
+    private boolean closed;
+
+    private StoreLedger(Store store, Ballast ballast, boolean sync, long remember, long rememberBytes, LongSupplier wallMillis) throws IOException {
+        this.store = store;
+        this.ballast = ballast;
+        this.sync = sync;
+        this.remember = remember;
+        this.rememberBytes = rememberBytes;
+        this.wallMillis = wallMillis;
+        resumed = store.stats().sequence() > 0;
+        load();
+    }
+
+    /** Opens the store in a state folder; limit: bytes that it may hold; remember: microseconds, and bytes, of ended ids. */
+    public static StoreLedger open(Path state, long limit, boolean sync, long remember, long rememberBytes) throws IOException {
+        return open(state, limit, sync, remember, rememberBytes, System::currentTimeMillis, new SecureRandom().nextInt());
+    }
+
+    /** The same with a wall's clock and a salt handed in. */
+    public static StoreLedger open(Path state, long limit, boolean sync, long remember, long rememberBytes, LongSupplier wallMillis,
+            int salt) throws IOException {
+        Path journal = state.resolve(JOURNAL);
+        Path folder = state.resolve(Journal.STORE);
+        Path made = state.resolve(Journal.STORE + ".new");
+        if (Files.exists(journal) && !Files.exists(folder)) {
+            carryOver(state, made, limit, salt);
+            Files.move(made, folder);
+        }
+        // What was carried over is in the store: the old file would only take room.
+        Files.deleteIfExists(journal);
+        Files.deleteIfExists(state.resolve(JOURNAL + ".next"));
+        Files.createDirectories(folder);
+        long kept = (long) (limit * BALLAST_PART);
+        Store store = Store.open(new FolderDisk(folder), limit - kept, sync, salt);
+        try {
+            return new StoreLedger(store, new Ballast(folder.resolve("ballast"), kept), sync, remember, rememberBytes, wallMillis);
+        } catch (IOException | RuntimeException e) {
+            store.close();
+            throw e;
+        }
+    }
+
+    /** What a state folder's store owes, in the order taken on; nothing is changed. */
+    static List<HeldMail> read(Path folder) throws IOException {
+        try (StoreLedger ledger = new StoreLedger(Store.look(new FolderDisk(folder)), new Ballast(folder, 0), false, 0, 0,
+                System::currentTimeMillis)) {
+            return ledger.owed();
+        }
+    }
+
+    /** Puts what the journal owes into a new store beside it; one that was begun before is begun again. */
+    private static void carryOver(Path state, Path made, long limit, int salt) throws IOException {
+        if (Files.exists(made)) {
+            try (var files = Files.list(made)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+        Files.createDirectories(made);
+        List<HeldMail> owed = Journal.read(state);
+        try (StoreLedger ledger = new StoreLedger(Store.open(new FolderDisk(made), limit, true, salt), new Ballast(made.resolve("ballast"), 0), true, 0, 0,
+                System::currentTimeMillis)) {
+            for (HeldMail mail : owed) {
+                HeldMail copy = new HeldMail(mail.submission, mail.endsBy);
+                ledger.taken(copy);
+                mail.connects.forEach(connect -> ledger.connecting(copy, connect));
+                if (mail.ending != null) {
+                    ledger.ended(copy, mail.ending);
+                }
+                ledger.store.write(ledger.pending);
+                ledger.pending = new Batch();
+                Store.Sync all = ledger.store.sync();
+                all.force();
+                ledger.store.forced(all);
+            }
+        }
+        if (!owed.isEmpty()) {
+            LogEvent.tell(LOG, Level.INFO, "store.carried", "{mails} mails carried over from the journal", "mails", owed.size());
+        }
+    }
+
+    // ---- Recovery ----
+
+    private void load() throws IOException {
+        Store.Recovered found = store.recovered();
+        Map<Long, HeldMail> byOrder = new TreeMap<>();
+        Map<String, HeldMail> byId = new LinkedHashMap<>();
+        List<String> others = new ArrayList<>();
+        Map<Long, String> ended = new TreeMap<>();
+        store.forEach((key, value) -> {
+            try {
+                if (key.charAt(0) == TAKEN) {
+                    Entry.Taken taken = (Entry.Taken) Entry.decode(java.util.Arrays.copyOfRange(value, 8, value.length));
+                    HeldMail held = new HeldMail(taken.submission(), taken.endsBy());
+                    held.owed = true;
+                    byOrder.put(ByteBuffer.wrap(value).getLong(), held);
+                    byId.put(taken.id(), held);
+                } else if (key.charAt(0) == REMEMBERED) {
+                    long at = ByteBuffer.wrap(value).getLong();
+                    while (ended.putIfAbsent(at, key.substring(1)) != null) {
+                        at++;
+                    }
+                } else {
+                    others.add(key);
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        // In the order of the keys: connects before what is known of them.
+        List<String> left = new ArrayList<>();
+        for (String key : others) {
+            apply(Entry.decode(store.get(key)), byId, key, left);
+        }
+        byOrder.forEach((at, held) -> {
+            order = at;
+            held.connects.sort((a, b) -> Integer.compare(a.number(), b.number()));
+            if (found.damaged() && held.ending == null) {
+                // Guards against a second effect: what is missing may have said that it went out, or that it was over.
+                held.connects.add(new PastConnect(held.connects.size(), "", 0, 0, false));
+            }
+            owed.put(held.submission.id(), held);
+        });
+        ended.forEach((at, id) -> remembered(id, at));
+        // Records whose mail is gone are of no use: only damage leaves them.
+        left.forEach(pending::delete);
+        if (found.torn() > 0) {
+            LogEvent.tell(LOG, Level.WARNING, "store.torn", "store: cut off a torn tail of {bytes} bytes", "bytes", found.torn());
+        }
+        found.holes().forEach(hole -> LogEvent.tell(LOG, Level.ERROR, "store.damaged",
+                "store: {hole}; owed mails are taken to have gone out", "hole", hole.text()));
+    }
+
+    private static void apply(Entry entry, Map<String, HeldMail> byId, String key, List<String> left) {
+        HeldMail held = byId.get(entry.id());
+        if (held == null) {
+            left.add(key);
+        } else if (entry instanceof Entry.Connecting connecting) {
+            held.connects.add(connecting.connect());
+        } else if (entry instanceof Entry.NeverRan neverRan) {
+            mark(held, neverRan.number());
+        } else if (entry instanceof Entry.Ended ended) {
+            held.ending = ended.ending();
+        }
+    }
+
+    private static boolean mark(HeldMail held, int number) {
+        for (int i = 0; i < held.connects.size(); i++) {
+            PastConnect c = held.connects.get(i);
+            if (c.number() == number && !c.neverRan()) {
+                held.connects.set(i, new PastConnect(number, c.endpoint(), c.zone(), c.sentAt(), true));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // ---- Notes of a turn ----
+
+    @Override public void attach(Executor onLoop, Runnable whenFailed) {
+        loop = onLoop;
+        failed = whenFailed;
+    }
+
+    @Override public boolean resumed() {
+        return resumed;
+    }
+
+    @Override public List<HeldMail> owed() {
+        return new ArrayList<>(owed.values());
+    }
+
+    @Override public boolean fits(int bodyBytes, int before, int tries) {
+        long each = (2L + 2 * tries) * RECORD;
+        return ballast.held() && store.fits(owed.size() * each + Math.max(0, rememberBytes - rememberedBytes), (1L + before) * (bodyBytes + RECORD + each));
+    }
+
+    @Override public boolean remembers(String id) {
+        return remembered.containsKey(id);
+    }
+
+    @Override public void taken(HeldMail held) {
+        held.owed = true;
+        owed.put(held.submission.id(), held);
+        byte[] entry = new Entry.Taken(held.submission, held.endsBy).encode();
+        pending.put(TAKEN + held.submission.id(), ByteBuffer.allocate(8 + entry.length).putLong(++order).put(entry).array());
+    }
+
+    private static String of(char kind, String id, int number) {
+        return kind + id + '\0' + number;
+    }
+
+    @Override public void connecting(HeldMail held, PastConnect connect) {
+        held.connects.add(connect);
+        String id = held.submission.id();
+        pending.put(of(CONNECT, id, connect.number()), new Entry.Connecting(id, connect).encode());
+        if (connect.neverRan()) {
+            pending.put(of(NEVER_RAN, id, connect.number()), new Entry.NeverRan(id, connect.number()).encode());
+        }
+    }
+
+    @Override public void neverRan(HeldMail held, int number) {
+        if (mark(held, number)) {
+            String id = held.submission.id();
+            pending.put(of(NEVER_RAN, id, number), new Entry.NeverRan(id, number).encode());
+        }
+    }
+
+    @Override public void ended(HeldMail held, Ending ending) {
+        held.ending = ending;
+        pending.put(ENDING + held.submission.id(), new Entry.Ended(held.submission.id(), ending).encode());
+    }
+
+    @Override public void over(HeldMail held) {
+        String id = held.submission.id();
+        if (!held.owed || !owed.remove(id, held)) {
+            return;
+        }
+        held.owed = false;
+        pending.delete(TAKEN + id);
+        for (PastConnect connect : held.connects) {
+            pending.delete(of(CONNECT, id, connect.number()));
+            if (connect.neverRan()) {
+                pending.delete(of(NEVER_RAN, id, connect.number()));
+            }
+        }
+        if (held.ending != null) {
+            pending.delete(ENDING + id);
+        }
+        if (remember > 0 && rememberBytes > 0) {
+            long now = 1000 * wallMillis.getAsLong();
+            pending.put(REMEMBERED + id, ByteBuffer.allocate(8).putLong(now).array());
+            remembered(id, now);
+        }
+    }
+
+    private void remembered(String id, long at) {
+        remembered.put(id, at);
+        rememberedBytes += id.length() + ID;
+    }
+
+    private void forget() {
+        long before = 1000 * wallMillis.getAsLong() - remember;
+        int count = 0;
+        for (Iterator<Map.Entry<String, Long>> all = remembered.entrySet().iterator(); all.hasNext() && count < FORGOTTEN_A_TURN;) {
+            Map.Entry<String, Long> oldest = all.next();
+            if (oldest.getValue() >= before && rememberedBytes <= rememberBytes) {
+                return;
+            }
+            all.remove();
+            rememberedBytes -= oldest.getKey().length() + ID;
+            pending.delete(REMEMBERED + oldest.getKey());
+            count++;
+        }
+    }
+
+    // ---- Writing ----
+
+    @Override public boolean write(Runnable then) throws IOException {
+        if (pending.isEmpty()) {
+            return true;
+        }
+        forget();
+        Batch batch = pending;
+        pending = new Batch();
+        return write(batch, then);
+    }
+
+    private boolean write(Batch batch, Runnable then) throws IOException {
+        try {
+            append(batch);
+        } catch (IOException e) {
+            if (!ballast.release()) {
+                throw e;
+            }
+            LogEvent.tell(LOG, Level.ERROR, "store.short", "the disk takes no more: new mails are refused, what is owed goes on: {why}",
+                    "why", e.getMessage());
+            append(batch);
+        }
+        if (ballast.restore(1000 * wallMillis.getAsLong())) {
+            LogEvent.tell(LOG, Level.WARNING, "store.room", "the disk has room again: mails are taken on");
+        }
+        if (!sync) {
+            return true;
+        }
+        if (forcing == null) {
+            forcing = Executors.newSingleThreadExecutor(work -> {
+                Thread thread = new Thread(work, "wrenreach-store");
+                thread.setDaemon(true);
+                return thread;
+            });
+        }
+        Store.Sync all = store.sync();
+        forcing.execute(() -> force(all, then));
+        return false;
+    }
+
+    /** One that cleaning can't make room for yet waits for what has to be forced before. */
+    private void append(Batch batch) throws IOException {
+        for (int i = 0; ; i++) {
+            try {
+                store.write(batch);
+                return;
+            } catch (Store.Full e) {
+                if (!sync || i >= FORCED_FOR_ROOM) {
+                    throw e;
+                }
+                Store.Sync all = store.sync();
+                all.force();
+                store.forced(all);
+            }
+        }
+    }
+
+    private void force(Store.Sync all, Runnable then) {
+        Runnable next;
+        try {
+            all.force();
+            next = () -> {
+                if (!closed) {
+                    store.forced(all);
+                    then.run();
+                }
+            };
+        } catch (IOException e) {
+            // What a failed sync leaves is unknown: nothing can be promised on it any more.
+            LogEvent.tell(LOG, Level.ERROR, "store.sync", "the store can't be forced to the disk, the node stops: {why}", "why",
+                    e.getMessage());
+            next = failed;
+        }
+        try {
+            loop.execute(next);
+        } catch (RejectedExecutionException e) {
+            // The node has stopped meanwhile.
+            return;
+        }
+    }
+
+    @Override public long size() {
+        return store.stats().appended() + store.stats().copied();
+    }
+
+    /** What the store says of itself. */
+    public Store.Stats stats() {
+        return store.stats();
+    }
+
+    @Override public void close() throws IOException {
+        closed = true;
+        if (forcing != null) {
+            forcing.shutdown();
+            try {
+                forcing.awaitTermination(1, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        if (sync) {
+            store.sync().force();
+        }
+        store.close();
+    }
+}
--- /dev/null
+++ b/ledger/src/main/java/wrenreach/ledger/StoreSubsystem.java
@@ -0,0 +1,36 @@
+package wrenreach.ledger;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import wrenreach.frame.Command;
+import wrenreach.frame.Host;
+import wrenreach.frame.Running;
+import wrenreach.frame.Subsystem;
+import wrenreach.held.Ledger;
+import wrenreach.operator.Section;
+
+/** The store as a subsystem: it takes the journal's place. */
+public final class StoreSubsystem implements Subsystem<StoreSection> {
+    @Override public Section<StoreSection> section() {
+        return StoreSection.SECTION;
+    }
+
+    @Override public Optional<Ledger> ledger(StoreSection section, Path state, long limit) throws CantStart {
+        try {
+            return Optional.of(StoreLedger.open(state, limit, section.durability().equals("sync"), section.remembered(),
+                    (long) (section.rememberedPart() * limit)));
+        } catch (IOException e) {
+            throw new CantStart("the store in " + state + " can't be used: " + e.getMessage());
+        }
+    }
+
+    @Override public Running<StoreSection> start(StoreSection section, Host host) {
+        return new Running<>() { };
+    }
+
+    @Override public List<Command> commands() {
+        return List.of(new StoreCommand());
+    }
+}
--- /dev/null
+++ b/ledger/src/test/java/wrenreach/ledger/StoreLedgerTest.java
@@ -0,0 +1,231 @@
+package wrenreach.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import wrenreach.held.Ending;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Journal;
+import wrenreach.held.Ledger;
+import wrenreach.held.PastConnect;
+import wrenreach.held.Submission;
+
+class StoreLedgerTest {
+    private static final long LIMIT = 2_000_000, MINUTE = 60_000_000;
+    @TempDir Path folder;
+    private long wallMillis = 1_800_000_000_000L;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+    private StoreLedger open(boolean sync, long rememberBytes) throws IOException {
+        return StoreLedger.open(folder, LIMIT, sync, MINUTE, rememberBytes, () -> wallMillis, 5);
+    }
+
+    private static HeldMail mail(String id, int bytes) {
+        return new HeldMail(new Submission(id, "key", "order", "shop", "tag " + id, 3, new byte[bytes]), 99);
+    }
+
+    private static PastConnect connect(int number) {
+        return new PastConnect(number, "e" + number, 1, 1000 + number, false);
+    }
+
+    private static List<String> ids(Ledger ledger) {
+        return ledger.owed().stream().map(held -> held.submission.id()).toList();
+    }
+
+    private static void write(Ledger ledger) throws IOException {
+        assertThat(ledger.write(() -> { })).isTrue();
+    }
+
+    /** Three mails in an order that is not that of their ids: one out, one ended, one over. */
+    private static void fill(Ledger ledger) throws IOException {
+        HeldMail out = mail("z", 10);
+        HeldMail ended = mail("b", 20);
+        HeldMail over = mail("y", 30);
+        for (HeldMail mail : List.of(out, over, ended)) {
+            ledger.taken(mail);
+        }
+        write(ledger);
+        ledger.connecting(out, connect(0));
+        ledger.neverRan(out, 0);
+        ledger.connecting(out, connect(1));
+        ledger.connecting(over, connect(0));
+        write(ledger);
+        ledger.over(over);
+        ledger.ended(ended, new Ending(true, 70));
+        write(ledger);
+    }
+
+    private static void holdsWhatWasFilled(Ledger ledger) {
+        assertThat(ids(ledger)).containsExactly("z", "b");
+        HeldMail out = ledger.owed().get(0);
+        assertThat(out.endsBy).isEqualTo(99);
+        assertThat(out.submission.tag()).isEqualTo("tag z");
+        assertThat(out.submission.body()).hasSize(10);
+        assertThat(out.connects).containsExactly(new PastConnect(0, "e0", 1, 1000, true), connect(1));
+        assertThat(ledger.owed().get(1).ending).isEqualTo(new Ending(true, 70));
+        assertThat(ledger.resumed()).isTrue();
+    }
+
+    @Test void whatIsOwedOutlastsTheProcessAndEndedIdsAreKnown() throws Exception {
+        try (Ledger ledger = open(false, 10_000)) {
+            assertThat(ledger.resumed()).isFalse();
+            fill(ledger);
+        }
+        try (Ledger ledger = open(false, 10_000)) {
+            holdsWhatWasFilled(ledger);
+            assertThat(ledger.remembers("y")).isTrue();
+            assertThat(ledger.remembers("z")).isFalse();
+            wallMillis += 60_001;
+            ledger.taken(mail("later", 1));
+            write(ledger);
+            assertThat(ledger.remembers("y")).as("after its time").isFalse();
+        }
+        try (Ledger ledger = open(false, 10_000)) {
+            assertThat(ledger.remembers("y")).isFalse();
+            assertThat(ids(ledger)).containsExactly("z", "b", "later");
+        }
+    }
+
+    @Test void endedIdsTakeNoMoreThanTheirRoom() throws Exception {
+        try (Ledger ledger = open(false, 1000)) {
+            for (int i = 0; i < 100; i++) {
+                HeldMail mail = mail("m" + i, 10);
+                ledger.taken(mail);
+                write(ledger);
+                ledger.over(mail);
+                write(ledger);
+            }
+            long known = Stream.iterate(0, i -> i + 1).limit(100).filter(i -> ledger.remembers("m" + i)).count();
+            assertThat(known).isBetween(10L, 16L);
+            assertThat(ledger.remembers("m99")).isTrue();
+            assertThat(ledger.remembers("m0")).isFalse();
+        }
+    }
+
+    /** Also where an earlier try was cut short at any of its files: nothing is lost, and nothing there twice. */
+    @Test void theJournalIsCarriedOverOnceAndNeverForgotten() throws Exception {
+        try (Journal journal = Journal.open(folder, LIMIT)) {
+            fill(journal);
+        }
+        Path begun = Files.createDirectories(folder.resolve("store.new"));
+        Files.write(begun.resolve("segment-0000000000000001.log"), new byte[200]);
+        try (Ledger ledger = open(false, 0)) {
+            holdsWhatWasFilled(ledger);
+        }
+        assertThat(folder.resolve("journal")).doesNotExist();
+        assertThatThrownBy(() -> Journal.open(folder, LIMIT)).isInstanceOf(IOException.class).hasMessageContaining("[store] has to stay on");
+        // The process ended between the store's taking its name and the old file's going.
+        Files.write(folder.resolve("journal"), new byte[] {0, 0, 0, 1});
+        try (Ledger ledger = open(false, 0)) {
+            holdsWhatWasFilled(ledger);
+        }
+        assertThat(folder.resolve("journal")).doesNotExist();
+        assertThat(store("held", folder.toString())).isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("z class=order dest=3", "2 mails owed", "deferred");
+    }
+
+    /** With sync, the turn's end comes only once its records are forced, on the loop. */
+    @Test void withSyncNothingIsPromisedBeforeItIsForced() throws Exception {
+        java.util.concurrent.BlockingQueue<Runnable> loop = new java.util.concurrent.LinkedBlockingQueue<>();
+        try (Ledger ledger = open(true, 0)) {
+            ledger.attach(loop::add, () -> { });
+            ledger.taken(mail("a", 10));
+            int[] lasts = {0};
+            assertThat(ledger.write(() -> lasts[0]++)).isFalse();
+            assertThat(lasts[0]).isZero();
+            loop.take().run();
+            assertThat(lasts[0]).isEqualTo(1);
+            assertThat(ledger.write(() -> lasts[0]++)).as("nothing noted").isTrue();
+        }
+    }
+
+    /** What is missing may have said that a mail went out: none is sent again as if it had not. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void afterDamageOwedMailsAreTakenToHaveGoneOut(int batch) throws Exception {
+        try (Ledger ledger = open(false, 0)) {
+            ledger.taken(mail("a", 500));
+            write(ledger);
+            ledger.taken(mail("b", 500));
+            write(ledger);
+            ledger.taken(mail("c", 500));
+            write(ledger);
+        }
+        Path segment = folder.resolve("store/segment-0000000000000001.log");
+        byte[] bytes = Files.readAllBytes(segment);
+        bytes[200 + 600 * batch] ^= 1;
+        Files.write(segment, bytes);
+        try (Ledger ledger = open(false, 0)) {
+            assertThat(ids(ledger)).containsExactly(batch == 0 ? "b" : "a", "c");
+            assertThat(ledger.owed()).allSatisfy(held -> assertThat(held.connects).hasSize(1)
+                    .allSatisfy(connect -> assertThat(connect.neverRan()).isFalse()));
+        }
+    }
+
+    @Test void theRoomIsKeptTo() throws Exception {
+        try (StoreLedger ledger = open(false, 10_000)) {
+            int taken = 0;
+            while (ledger.fits(1000, 0, 4)) {
+                ledger.taken(mail("m" + taken++, 1000));
+                write(ledger);
+            }
+            assertThat(taken).isBetween(200, 900);
+            for (HeldMail held : ledger.owed()) {
+                for (int i = 0; i < 4; i++) {
+                    ledger.connecting(held, connect(i));
+                    write(ledger);
+                }
+            }
+            try (Stream<Path> files = Files.list(folder.resolve("store"))) {
+                assertThat(files.mapToLong(file -> (file.toFile().length() + 511) / 512 * 512).sum()).isLessThanOrEqualTo(LIMIT);
+            }
+            ledger.owed().forEach(ledger::over);
+            write(ledger);
+            assertThat(ledger.fits(1000, 0, 4)).isTrue();
+        }
+    }
+
+    private int store(String... words) {
+        out.reset();
+        PrintStream print = new PrintStream(out, true, StandardCharsets.UTF_8);
+        return new StoreCommand().run(List.of(words), print, print);
+    }
+
+    @Test void theCommandTellsSoundDamagedAndNone() throws Exception {
+        Path bench = folder.resolve("bench");
+        assertThat(store("bench", bench.toString(), "--records", "2000")).isZero();
+        assertThat(store("check", bench.toString())).isZero();
+        assertThat(store("stats", bench.toString())).isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("2000 keys", "200 batches");
+        assertThat(store("dump", bench.toString())).isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8).lines()).hasSize(2000).first().asString().startsWith("t0 0000");
+        Path segment = bench.resolve("segment-0000000000000001.log");
+        byte[] bytes = Files.readAllBytes(segment);
+        bytes[bytes.length / 2] ^= 1;
+        Files.write(segment, bytes);
+        assertThat(store("check", bench.toString())).isEqualTo(1);
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("1 batches are lost");
+        assertThat(store("repair", bench.toString())).as("never without a copy").isEqualTo(2);
+        assertThat(store("repair", bench.toString(), "--copy", folder.resolve("copy").toString())).isZero();
+        assertThat(folder.resolve("copy").resolve(segment.getFileName().toString())).hasBinaryContent(bytes);
+        assertThat(store("check", bench.toString())).isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("1990 keys");
+        assertThat(store("check", folder.toString())).isEqualTo(2);
+        assertThat(store("check", folder.resolve("none").toString())).isEqualTo(2);
+        assertThat(store("check")).isEqualTo(2);
+        assertThat(store("bench", bench.toString(), "--records", "1")).as("not over another store").isEqualTo(1);
+        assertThat(store("bench", bench.toString(), "--records", "x")).isEqualTo(2);
+    }
+}
--- a/node/src/main/java/wrenreach/frame/Subsystem.java
+++ b/node/src/main/java/wrenreach/frame/Subsystem.java
@@ -1,6 +1,9 @@
 package wrenreach.frame;
 
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
+import wrenreach.held.Ledger;
 import wrenreach.operator.Section;
 
 /**
@@ -24,6 +27,14 @@
     /** Starts it before the node's loop does anything; it may block for a bounded time. */
     Running<S> start(S section, Host host) throws CantStart;
 
+    /**
+     * A home for what is owed in place of the journal, on the node's state folder; limit: bytes that it may hold. Called before
+     * the node is made; at most one subsystem brings one.
+     */
+    default Optional<Ledger> ledger(S section, Path state, long limit) throws CantStart {
+        return Optional.empty();
+    }
+
     /** What it brings to the command line, also where it is off. */
     default List<Command> commands() {
         return List.of();
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -23,9 +23,11 @@
  * turn. A tail that a killed process left half written is cut off. Old records go by writing what is still
  * owed into a new file that takes the old one's name.
  */
-public final class Journal implements AutoCloseable {
+public final class Journal implements Ledger {
     private static final System.Logger LOG = System.getLogger(Journal.class.getName());
     private static final String NAME = "journal", NEXT = "journal.next";
+    /** Where a store keeps what is owed, in the same folder. */
+    public static final String STORE = "store";
     private static final int HEAD = 8;
     /** Parts of the room: the old and the compacted file stand beside each other for a moment. */
     private static final double FILE_PART = 0.55, OWED_PART = 0.4;
@@ -58,6 +60,10 @@
 
     /** Opens the folder's journal for writing; limit: bytes that the folder may hold. */
     public static Journal open(Path folder, long limit) throws IOException {
+        if (Files.exists(folder.resolve(STORE))) {
+            // Guards what is owed: a node that went back to the journal would know nothing of it.
+            throw new IOException(folder.resolve(STORE) + " holds what is owed: [store] has to stay on");
+        }
         Map<String, HeldMail> owed = new LinkedHashMap<>();
         return new Journal(folder, limit, owed, replay(folder.resolve(NAME), owed));
     }
@@ -69,28 +75,25 @@
         return new ArrayList<>(owed.values());
     }
 
-    /** Whether an earlier process left records here. */
-    public boolean resumed() {
+    @Override public boolean resumed() {
         return resumed;
     }
 
-    /** What is owed, in the order taken on. */
-    public List<HeldMail> owed() {
+    @Override public List<HeldMail> owed() {
         return new ArrayList<>(owed.values());
     }
 
-    /** Whether a mail of this body, its connects and its ending would find room; so many are to come before. */
-    public boolean fits(int bodyBytes, int before, int tries) {
+    @Override public boolean fits(int bodyBytes, int before, int tries) {
         return owedBytes + (1L + before) * (bodyBytes + (1 + tries) * 128L) <= owedLimit;
     }
 
-    public void taken(HeldMail held) {
+    @Override public void taken(HeldMail held) {
         held.owed = true;
         owed.put(held.submission.id(), held);
         note(held, new Entry.Taken(held.submission, held.endsBy));
     }
 
-    public void connecting(HeldMail held, PastConnect connect) {
+    @Override public void connecting(HeldMail held, PastConnect connect) {
         held.connects.add(connect);
         note(held, new Entry.Connecting(held.submission.id(), connect));
         if (connect.neverRan()) {
@@ -98,18 +101,18 @@
         }
     }
 
-    public void neverRan(HeldMail held, int number) {
+    @Override public void neverRan(HeldMail held, int number) {
         if (mark(held, number)) {
             note(held, new Entry.NeverRan(held.submission.id(), number));
         }
     }
 
-    public void ended(HeldMail held, Ending ending) {
+    @Override public void ended(HeldMail held, Ending ending) {
         held.ending = ending;
         note(held, new Entry.Ended(held.submission.id(), ending));
     }
 
-    public void over(HeldMail held) {
+    @Override public void over(HeldMail held) {
         if (held.owed && owed.remove(held.submission.id(), held)) {
             held.owed = false;
             append(pending, new Entry.Over(held.submission.id()));
@@ -117,12 +120,17 @@
         }
     }
 
-    /** Bytes that its file holds. */
-    public long size() {
+    @Override public long size() {
         return size;
     }
 
-    /** Writes all records noted since the last time, at once. */
+    /** Writes all records noted since the last time, at once: without a sync they last as soon as they are written. */
+    @Override public boolean write(Runnable then) throws IOException {
+        write();
+        return true;
+    }
+
+    /** The same, for who has no turn. */
     public void write() throws IOException {
         if (pending.size() == 0) {
             return;
--- /dev/null
+++ b/node/src/main/java/wrenreach/held/Ledger.java
@@ -0,0 +1,49 @@
+package wrenreach.held;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.Executor;
+
+/**
+ * What the node owes, where it outlasts the process. The node's loop owns it; what is noted in a turn is written by
+ * {@link #write}, all of it or nothing.
+ */
+public interface Ledger extends AutoCloseable {
+    /** Before anything else: the node's loop, and what to do when nothing can be promised any more. */
+    default void attach(Executor loop, Runnable failed) { }
+
+    /** Whether an earlier process left records here. */
+    boolean resumed();
+
+    /** What is owed, in the order taken on. */
+    List<HeldMail> owed();
+
+    /** Whether a mail of this body, its connects and its ending would find room; so many are to come before. */
+    boolean fits(int bodyBytes, int before, int tries);
+
+    /** Whether a mail of this id was taken on and has ended, as far as that is remembered. */
+    default boolean remembers(String id) {
+        return false;
+    }
+
+    void taken(HeldMail held);
+
+    void connecting(HeldMail held, PastConnect connect);
+
+    void neverRan(HeldMail held, int number);
+
+    void ended(HeldMail held, Ending ending);
+
+    void over(HeldMail held);
+
+    /**
+     * Writes all records noted since the last time, at once. True: they last; false: then is called on the loop once they do,
+     * and nothing is to be written before. IOException: they don't, and the node has to stop.
+     */
+    boolean write(Runnable then) throws IOException;
+
+    /** Bytes that its files hold. */
+    long size();
+
+    @Override void close() throws IOException;
+}
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -25,7 +25,7 @@
 import wrenreach.held.Ending;
 import wrenreach.held.HeldMail;
 import wrenreach.held.HeldMails;
-import wrenreach.held.Journal;
+import wrenreach.held.Ledger;
 import wrenreach.held.PastConnect;
 import wrenreach.held.Submission;
 import wrenreach.log.LogEvent;
@@ -69,7 +69,7 @@
     private final Clock clock;
     private final EventLoopGroup group;
     private final EventLoop loop;
-    private final Journal journal;
+    private final Ledger journal;
     private final Door door;
     private final Calls calls;
     private final Notices notices;
@@ -86,6 +86,9 @@
     private final CompletableFuture<Integer> stopped = new CompletableFuture<>();
     private Phase phase = Phase.STARTING;
     private boolean turning;
+    /** The turn's records are on their way to the disk; whether something has come meanwhile. */
+    private boolean writing;
+    private boolean waiting;
     private long now;
     /** The longest time between two turns of late: so long a request may wait to be accepted, and again to be read. */
     private long behind = PATIENCE;
@@ -96,17 +99,18 @@
     private boolean sending = true;
 
     /** A node on the machine's sockets; nothing is done before {@link #start}. */
-    public DeliveryNode(Config config, Journal journal, Function<Settings, Dispatcher> module) {
+    public DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module) {
         this(config, journal, module, Sockets.real());
     }
 
     /** A node on other sockets and clocks; the group's loop owns it. */
-    public DeliveryNode(Config config, Journal journal, Function<Settings, Dispatcher> module, Sockets sockets) {
+    public DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module, Sockets sockets) {
         group = sockets.group();
         loop = group.next();
         clock = new Clock(loop.ticker(), sockets.wallMillis());
         this.config = config;
         this.journal = journal;
+        journal.attach(loop, () -> finish(1));
         settings = config.settings();
         this.module = module.apply(settings);
         held = new HeldMails(settings, config.queueClasses(), config.tenants(), directory);
@@ -253,7 +257,11 @@
     // ---- Turns ----
 
     @Override public long turn() {
-        if (!turning) {
+        if (writing) {
+            // What comes while the last turn's records are on their way to the disk is the next turn's.
+            now = clock.now();
+            waiting = true;
+        } else if (!turning) {
             turning = true;
             long gap = clock.now() - now;
             now += gap;
@@ -268,21 +276,37 @@
         if (!turning || phase == Phase.STOPPED) {
             return;
         }
+        boolean lasts;
         try {
             decide();
-            journal.write();
+            writing = true;
+            lasts = journal.write(this::written);
         } catch (IOException | RuntimeException e) {
             // Guards what is owed: a node that can't record or decide stops, and the journal keeps the rest.
             LogEvent.tell(LOG, Level.ERROR, e, "turn.failed", "turn failed, the node stops");
             finish(1);
             return;
         }
+        if (lasts) {
+            written();
+        }
+    }
+
+    private void written() {
+        if (phase == Phase.STOPPED) {
+            return;
+        }
         // What goes wrong while bytes go out is the next turn's.
+        writing = false;
         turning = false;
         subsystems.tell();
         door.flush();
         calls.flush(now);
         notices.flush();
+        if (waiting) {
+            waiting = false;
+            turn();
+        }
     }
 
     private void decide() {
@@ -384,6 +408,11 @@
             asked.answer(held.owes(s.id()) ? new Reply.Taken() : new Reply.Error("id in use", false));
             return;
         }
+        if (journal.remembers(s.id())) {
+            // It has had its end: the same answer again, and no second effect.
+            asked.answer(new Reply.Taken());
+            return;
+        }
         boolean fits = journal.fits(s.body().length, fresh.size(), settings.connectLimit());
         if (!fits && now > quietUntil) {
             quietUntil = now + QUIET;
@@ -584,7 +613,7 @@
         discovery.stop();
         subsystems.each(Running::stopped);
         try {
-            journal.write();
+            journal.write(() -> { });
             journal.close();
         } catch (IOException e) {
             LogEvent.tell(LOG, Level.ERROR, "journal.close", "journal can't be closed: {why}", "why", e.getMessage());
--- a/store/src/main/java/wrenreach/store/FolderDisk.java
+++ b/store/src/main/java/wrenreach/store/FolderDisk.java
@@ -63,7 +63,14 @@
     }
 
     @Override public void forceNames() throws IOException {
-        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
+        FileChannel names;
+        try {
+            names = FileChannel.open(folder, StandardOpenOption.READ);
+        } catch (IOException e) {
+            // A system that opens no folders keeps names by itself.
+            return;
+        }
+        try (names) {
             names.force(true);
         }
     }
