--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -237,6 +237,8 @@
 
     @Override public boolean fits(int bodyBytes, int before, int tries) {
         long each = (2L + 2 * tries) * RECORD;
+        // Looked at here too: a node that refuses everything writes nothing.
+        restore();
         return ballast.held() && store.fits(owed.size() * each + Math.max(0, rememberBytes - rememberedBytes), (1L + before) * (bodyBytes + RECORD + each));
     }
 
@@ -342,9 +344,7 @@
                     "why", e.getMessage());
             append(batch);
         }
-        if (ballast.restore(1000 * wallMillis.getAsLong())) {
-            LogEvent.tell(LOG, Level.WARNING, "store.room", "the disk has room again: mails are taken on");
-        }
+        restore();
         if (!sync) {
             return true;
         }
@@ -360,6 +360,12 @@
         return false;
     }
 
+    private void restore() {
+        if (ballast.restore(1000 * wallMillis.getAsLong())) {
+            LogEvent.tell(LOG, Level.WARNING, "store.room", "the disk has room again: mails are taken on");
+        }
+    }
+
     /** One that cleaning can't make room for yet waits for what has to be forced before. */
     private void append(Batch batch) throws IOException {
         for (int i = 0; ; i++) {
--- a/store/src/main/java/wrenreach/store/Planner.java
+++ b/store/src/main/java/wrenreach/store/Planner.java
@@ -50,6 +50,6 @@
         }
         long room = Math.max(1, limit - used - 2 * segment);
         double share = used / (double) room;
-        return Math.min(MOST_SLICE, Math.max(segment / 8, (long) Math.ceil(2 * share * written)));
+        return Math.min(MOST_SLICE, Math.max(LEAST_SEGMENT, (long) Math.ceil(2 * share * written)));
     }
 }
--- a/store/src/main/java/wrenreach/store/Store.java
+++ b/store/src/main/java/wrenreach/store/Store.java
@@ -164,6 +164,12 @@
     private static Store opened(Store store) throws IOException {
         try {
             store.recover();
+            if (store.sync) {
+                // What was found is promised from now on. Guards it: a batch to come says up to where all was forced.
+                Sync all = store.sync();
+                all.force();
+                store.forced(all);
+            }
             return store;
         } catch (IOException | RuntimeException e) {
             store.close();
@@ -285,6 +291,8 @@
             }
             holes.add(new Hole(name, 0, Math.min(FILE_HEAD, bytes.length), 0));
             segment.broken = true;
+            // The first of all begins with the first batch, whatever became of its head.
+            based |= number == 1;
         } else {
             long before = ByteBuffer.wrap(bytes).getLong(head + 20) - 1;
             if (based && before > sequence) {
