Store: a hole marks owed mails once, not at every start; two copies folded

Cause: after damage each start took all owed mails to have gone out, also those taken on after the hole was found: a sound once-only mail would have been ended unsent. Found by reading the change again. Marking a connect and printing an owed mail stood twice.

Change: a hole that has been dealt with has a key in the store, until it is cleaned away; the mark is written as a connect. HeldMail marks its connects and prints itself.

--- a/app/src/main/java/wrenreach/app/Main.java
+++ b/app/src/main/java/wrenreach/app/Main.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -149,13 +148,7 @@
         }
         try {
             List<HeldMail> owed = Journal.read(state);
-            for (HeldMail mail : owed) {
-                String end = mail.ending == null ? "" : mail.ending.deferred() ? " deferred" : " undeliverable";
-                System.out.printf("%s class=%s dest=%d until=%s connects=%d bytes=%d%s%n", mail.submission.id(),
-                        mail.submission.queueClass(), mail.submission.destination(),
-                        Instant.ofEpochMilli(mail.endsBy / 1000), mail.connects.size(),
-                        mail.submission.body().length, end);
-            }
+            owed.forEach(mail -> System.out.println(mail.line()));
             System.out.println(owed.size() + " mails owed");
             return 0;
         } catch (IOException e) {
--- a/lab/src/main/java/wrenreach/lab/Load.java
+++ b/lab/src/main/java/wrenreach/lab/Load.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -36,7 +37,7 @@
                         + " that are started on one machine");
             }
             day.faults().stream().map(Scenario.Fault::kind).filter(kind -> !kind.real).distinct()
-                    .forEach(kind -> all.add("fault " + kind.name().toLowerCase(java.util.Locale.ROOT) + " is played in virtual time only"));
+                    .forEach(kind -> all.add("fault " + kind.name().toLowerCase(Locale.ROOT) + " is played in virtual time only"));
         }
         return all.stream().distinct().toList();
     }
--- a/lab/src/main/java/wrenreach/lab/ProcessNode.java
+++ b/lab/src/main/java/wrenreach/lab/ProcessNode.java
@@ -8,6 +8,7 @@
 import java.net.URISyntaxException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import wrenreach.node.DeliveryNode;
 
@@ -59,7 +60,7 @@
         }
         restartAfter = RESTART;
         serves = false;
-        List<String> words = new java.util.ArrayList<>(List.of(
+        List<String> words = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         words.addAll(OPTIONS);
         words.addAll(List.of("-cp", classPath(), "wrenreach.app.Launch", "serve", "--config",
--- a/ledger/src/main/java/wrenreach/ledger/StoreCommand.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreCommand.java
@@ -4,7 +4,6 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Instant;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
@@ -133,12 +132,7 @@
 
     private static int held(Path folder, PrintStream out) throws IOException {
         List<HeldMail> owed = StoreLedger.read(folder);
-        for (HeldMail mail : owed) {
-            String end = mail.ending == null ? "" : mail.ending.deferred() ? " deferred" : " undeliverable";
-            out.printf("%s class=%s dest=%d until=%s connects=%d bytes=%d%s%n", mail.submission.id(), mail.submission.queueClass(),
-                    mail.submission.destination(), Instant.ofEpochMilli(mail.endsBy / 1000), mail.connects.size(),
-                    mail.submission.body().length, end);
-        }
+        owed.forEach(mail -> out.println(mail.line()));
         out.println(owed.size() + " mails owed");
         return SOUND;
     }
--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -12,7 +12,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -32,13 +34,13 @@
 
 /**
  * What is owed, in a store: a key for each mail (t), for each of its connects (c) and what became of it (n), for its ending
- * (e), and for the id of one that has ended (r). A turn's records are one batch. Where the disk takes no more, ballast is let go:
+ * (e), for the id of one that has ended (r), and for each hole that has been dealt with (h). A turn's records are one batch. Where the disk takes no more, ballast is let go:
  * what is owed goes on in its room, and new mails are refused until it is back.
  */
 public final class StoreLedger implements Ledger {
     private static final System.Logger LOG = System.getLogger(StoreLedger.class.getName());
     private static final String JOURNAL = "journal";
-    private static final char TAKEN = 't', CONNECT = 'c', NEVER_RAN = 'n', ENDING = 'e', REMEMBERED = 'r';
+    private static final char TAKEN = 't', CONNECT = 'c', NEVER_RAN = 'n', ENDING = 'e', REMEMBERED = 'r', HOLE = 'h';
     /** The part of the room that is kept for what is owed already, for when the disk is full. */
     private static final double BALLAST_PART = 0.125;
     /** Bytes that a connect or an ending may take; a remembered id beside its length. */
@@ -151,6 +153,7 @@
         Map<Long, HeldMail> byOrder = new TreeMap<>();
         Map<String, HeldMail> byId = new LinkedHashMap<>();
         List<String> others = new ArrayList<>();
+        Set<String> dealtWith = new TreeSet<>();
         Map<Long, String> ended = new TreeMap<>();
         store.forEach((key, value) -> {
             try {
@@ -165,6 +168,8 @@
                     while (ended.putIfAbsent(at, key.substring(1)) != null) {
                         at++;
                     }
+                } else if (key.charAt(0) == HOLE) {
+                    dealtWith.add(key);
                 } else {
                     others.add(key);
                 }
@@ -177,12 +182,18 @@
         for (String key : others) {
             apply(Entry.decode(store.get(key)), byId, key, left);
         }
+        // Each hole once: it says nothing of mails taken on after it was found.
+        Set<String> holes = new TreeSet<>();
+        found.holes().stream().filter(hole -> hole.lost() > 0).forEach(hole -> holes.add(HOLE + hole.file() + "@" + hole.at()));
+        boolean damaged = !dealtWith.containsAll(holes);
+        holes.stream().filter(hole -> !dealtWith.contains(hole)).forEach(hole -> pending.put(hole, new byte[0]));
+        dealtWith.stream().filter(hole -> !holes.contains(hole)).forEach(pending::delete);
         byOrder.forEach((at, held) -> {
             order = at;
             held.connects.sort((a, b) -> Integer.compare(a.number(), b.number()));
-            if (found.damaged() && held.ending == null) {
+            if (damaged && held.ending == null) {
                 // Guards against a second effect: what is missing may have said that it went out, or that it was over.
-                held.connects.add(new PastConnect(held.connects.size(), "", 0, 0, false));
+                connecting(held, new PastConnect(held.connects.size(), "", 0, 0, false));
             }
             owed.put(held.submission.id(), held);
         });
@@ -203,23 +214,12 @@
         } else if (entry instanceof Entry.Connecting connecting) {
             held.connects.add(connecting.connect());
         } else if (entry instanceof Entry.NeverRan neverRan) {
-            mark(held, neverRan.number());
+            held.neverRan(neverRan.number());
         } else if (entry instanceof Entry.Ended ended) {
             held.ending = ended.ending();
         }
     }
 
-    private static boolean mark(HeldMail held, int number) {
-        for (int i = 0; i < held.connects.size(); i++) {
-            PastConnect c = held.connects.get(i);
-            if (c.number() == number && !c.neverRan()) {
-                held.connects.set(i, new PastConnect(number, c.endpoint(), c.zone(), c.sentAt(), true));
-                return true;
-            }
-        }
-        return false;
-    }
-
     // ---- Notes of a turn ----
 
     @Override public void attach(Executor onLoop, Runnable whenFailed) {
@@ -267,7 +267,7 @@
     }
 
     @Override public void neverRan(HeldMail held, int number) {
-        if (mark(held, number)) {
+        if (held.neverRan(number)) {
             String id = held.submission.id();
             pending.put(of(NEVER_RAN, id, number), new Entry.NeverRan(id, number).encode());
         }
--- a/ledger/src/test/java/wrenreach/ledger/StoreLedgerTest.java
+++ b/ledger/src/test/java/wrenreach/ledger/StoreLedgerTest.java
@@ -171,6 +171,13 @@
             assertThat(ids(ledger)).containsExactly(batch == 0 ? "b" : "a", "c");
             assertThat(ledger.owed()).allSatisfy(held -> assertThat(held.connects).hasSize(1)
                     .allSatisfy(connect -> assertThat(connect.neverRan()).isFalse()));
+            ledger.taken(mail("later", 5));
+            write(ledger);
+        }
+        // The hole is still there; it says nothing of what came after it was found.
+        try (Ledger ledger = open(false, 0)) {
+            assertThat(ids(ledger)).hasSize(3).endsWith("later");
+            assertThat(ledger.owed()).extracting(held -> held.connects.size()).containsExactly(1, 1, 0);
         }
     }
 
--- a/node/src/main/java/wrenreach/held/HeldMail.java
+++ b/node/src/main/java/wrenreach/held/HeldMail.java
@@ -1,7 +1,9 @@
 package wrenreach.held;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import wrenreach.state.Mail;
 
 /** A mail that the node holds, from the door to its end; times in wall microseconds. */
@@ -23,4 +25,24 @@
         this.submission = submission;
         this.endsBy = endsBy;
     }
+
+    /** Marks one of its connects as never having run; false: there is none of that number, or it was marked before. */
+    public boolean neverRan(int number) {
+        for (int i = 0; i < connects.size(); i++) {
+            PastConnect c = connects.get(i);
+            if (c.number() == number && !c.neverRan()) {
+                connects.set(i, new PastConnect(number, c.endpoint(), c.zone(), c.sentAt(), true));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** One line for who asks what is owed. */
+    public String line() {
+        String end = ending == null ? "" : ending.deferred() ? " deferred" : " undeliverable";
+        return String.format(Locale.ROOT, "%s class=%s dest=%d until=%s connects=%d bytes=%d%s", submission.id(),
+                submission.queueClass(), submission.destination(), Instant.ofEpochMilli(endsBy / 1000), connects.size(),
+                submission.body().length, end);
+    }
 }
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -102,7 +102,7 @@
     }
 
     @Override public void neverRan(HeldMail held, int number) {
-        if (mark(held, number)) {
+        if (held.neverRan(number)) {
             note(held, new Entry.NeverRan(held.submission.id(), number));
         }
     }
@@ -239,7 +239,7 @@
         } else if (entry instanceof Entry.Connecting connecting) {
             held.connects.add(connecting.connect());
         } else if (entry instanceof Entry.NeverRan neverRan) {
-            mark(held, neverRan.number());
+            held.neverRan(neverRan.number());
         } else if (entry instanceof Entry.Ended ended) {
             held.ending = ended.ending();
         } else {
@@ -248,17 +248,6 @@
         held.bytes += bytes;
     }
 
-    private static boolean mark(HeldMail held, int number) {
-        for (int i = 0; i < held.connects.size(); i++) {
-            PastConnect c = held.connects.get(i);
-            if (c.number() == number && !c.neverRan()) {
-                held.connects.set(i, new PastConnect(number, c.endpoint(), c.zone(), c.sentAt(), true));
-                return true;
-            }
-        }
-        return false;
-    }
-
     private static int checksum(byte[] content) {
         CRC32 crc = new CRC32();
         crc.update(content);
--- a/store/src/main/java/wrenreach/store/Planner.java
+++ b/store/src/main/java/wrenreach/store/Planner.java
@@ -2,13 +2,14 @@
 
 /**
  * How much of the log is tidied up after a write. Cleaning goes from the oldest segment on, so that a segment's deletions can
- * go with it. Free of I/O: it sees sizes and answers with bytes. All its constants are ratios to the limit.
+ * go with it. Free of I/O: it sees sizes and answers with bytes. Its constants are ratios to the limit, but for bounds in bytes
+ * that keep a segment no smaller than a block and a slice no longer than a turn can bear.
  */
 final class Planner {
     /** Parts of the limit: what may be live, where cleaning begins at the latest, and one segment. */
     private static final double LIVE_PART = 0.5, FREE_PART = 0.4;
     private static final int SEGMENTS = 32;
-    /** A turn reads and writes at most so many segments' worth for each segment's worth that is free; bounds in bytes. */
+    /** Bounds of a segment and of a slice, in bytes. */
     private static final long LEAST_SEGMENT = 4096, MOST_SEGMENT = 1 << 24, MOST_SLICE = 1 << 18;
 
     private final long limit;
