A repeat held up on its way is not written after its window

Reading the path showed a gap that does this: the window was looked at when the module decided, while the bytes go out up to a second later, when the connection is up, or later still where the key is held back.

Change: the module says with each connect until when it may go out, and the node ends it unsent after that, as it does for drains and told waits.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -431,14 +431,18 @@
             if (c.neverRan) {
                 continue;
             }
-            if (kind.effect() == Settings.Effect.ONCE_ONLY || now + 2 * tick > c.sentAt + kind.repeatWindow()
-                    || !sameGroup(kind, c.endpoint, e)) {
+            if (kind.effect() == Settings.Effect.ONCE_ONLY || now > repeatsBy(kind, c) || !sameGroup(kind, c.endpoint, e)) {
                 return false;
             }
         }
         return true;
     }
 
+    /** Until when a repeat of what this connect may have done is known as one. */
+    private long repeatsBy(Settings.QueueClass kind, Connect c) {
+        return c.sentAt + kind.repeatWindow() - 2 * tick;
+    }
+
     private static boolean sameGroup(Settings.QueueClass kind, Endpoint a, Endpoint b) {
         return a == b || kind.repeatGroup() == Settings.RepeatGroup.ALL
                 || kind.repeatGroup() == Settings.RepeatGroup.ZONE && a.zone == b.zone;
@@ -465,6 +469,11 @@
         boolean ordinary = !mayCallOff || repeatsAfter(m, cutOff(r, now));
         long cut = ordinary ? cutOff(r, now) : classOf(m).lifetime() / 2;
         Connect c = new Connect(m, e, now, Math.min(now + cut, m.endsBy - 2 * tick), call);
+        if (classOf(m).effect() == Settings.Effect.TAGGED) {
+            for (Connect past : m.connects) {
+                c.goesBy = past.neverRan ? c.goesBy : Math.min(c.goesBy, repeatsBy(classOf(m), past));
+            }
+        }
         m.connects.add(c);
         call.connects.add(c);
         m.out++;
--- a/decisions/src/main/java/wrenreach/state/Connect.java
+++ b/decisions/src/main/java/wrenreach/state/Connect.java
@@ -8,6 +8,8 @@
     public final long sentAt;
     public final long cutAt;
     public final Call call;
+    /** Not to be written after this instant: what an earlier connect may have done would not be known again. */
+    public long goesBy = Long.MAX_VALUE;
     public boolean trial;
     public boolean open = true;
     public boolean neverRan;
--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -135,6 +135,18 @@
         assertThat(s.ever(Answer.Bounce.class)).hasSize(1);
     }
 
+    /** Whatever holds its bytes up, a repeat is not to go out after the window of the earliest that may have run. */
+    @Test void aRepeatSaysUntilWhenItMayGoOut() {
+        Endpoint e = s.endpoint(1, 0);
+        recovered(e, 2, 1000, false);
+        recovered(e, 1, 1000, true);
+        s.turn(5);
+        List<Answer.Send> sent = s.ever(Answer.Send.class);
+        assertThat(sent).hasSize(2);
+        assertThat(sent).extracting(one -> one.connect().goesBy).containsExactlyInAnyOrder(
+                1_000_000 * Setup.MS - 1000 * Setup.MS + 7500 * Setup.MS - 10 * Setup.MS, Long.MAX_VALUE);
+    }
+
     @Test void aRecoveredTaggedMailGoesAgainInItsWindowOnly() {
         Endpoint e = s.endpoint(1, 0);
         Mail within = recovered(e, 1, 1000, false);
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -195,13 +195,13 @@
 
     /**
      * Before the module decides: ends staged calls that must not be written any more. Guards drains and told
-     * waits that came in while the connection was being made.
+     * waits that came in, and repeats whose window ended, while the connection was being made.
      */
     public void dropForbidden() {
         long now = host.turn();
         for (Outgoing call : List.copyOf(staged)) {
             Endpoint endpoint = call.connect.endpoint;
-            if (!endpoint.ready || toldUntil.getOrDefault(endpoint.route, Long.MIN_VALUE) > now) {
+            if (!endpoint.ready || call.connect.goesBy < now || toldUntil.getOrDefault(endpoint.route, Long.MIN_VALUE) > now) {
                 Link link = call.link;
                 end(call, new Outcome.NotSent(false));
                 link.rest();
--- a/node/src/test/java/wrenreach/net/CallsTest.java
+++ b/node/src/test/java/wrenreach/net/CallsTest.java
@@ -189,6 +189,22 @@
         }
     }
 
+    /** Guards against effects twice: a repeat decided within its window is not written after, however long its connection took. */
+    @Test void noRepeatIsWrittenAfterItsWindow() throws Exception {
+        holdBack = true;
+        Connect connect = send(30 * SECOND);
+        try (Socket socket = accept()) {
+            endTurn();
+            connect.goesBy = turn() - 1;
+            holdBack = false;
+            while (ended.isEmpty()) {
+                endTurn();
+            }
+            assertThat(outcome()).isEqualTo(new Outcome.NotSent(false));
+            assertThat(socket.getInputStream().available()).isZero();
+        }
+    }
+
     /** Guards told waits: a call decided before the wait came in is not written before it is over. */
     @Test void nothingIsWrittenBeforeAToldWaitIsOver() throws Exception {
         send(30 * SECOND);
