A share follows the reported allowance; told waits run from when they are heard

Ruled out: slots (5 a node, seldom all out), connections (no endpoint short of them), discovery.

A share now follows what reports tell is left, up only while mails wait; without mails, and at the start, it is at most twice the node's part; a full with allowance left lowers it to the part at most.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -39,6 +39,9 @@
     private static final double BACK_OFF = 0.7, LEAST_SHARE = 0.5, FLOOR = 0.5, SCARCE_GAP = 0.5,
             SCARCE = 0.15, PLENTY = 0.65, FEW = 3;
     private static final int DOUBLINGS = 3;
+    // Where reports tell the allowance: the share that a node starts from, in parts; how fast, in powers a target
+    // delay, it follows what is left, and what is left where it stays.
+    private static final double RUSH = 2, STEER = 6, MIDDLE = 0.5;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
     // Usual times for which each of ROOMY nodes, longer of fewer, keeps a connection: an endpoint takes a few
@@ -139,7 +142,7 @@
         }
         Mail mail = c.mail;
         close(c, outcome, now);
-        hear(c.endpoint.route, report, now);
+        hear(c.endpoint, report, now);
         // Guards the wait rule: each mail of a call brings its own wait, some a tick later than the first.
         if (outcome instanceof Outcome.Full full && full.pause() > 0) {
             c.endpoint.route.heldUntil = Math.max(c.endpoint.route.heldUntil, now + full.pause() + tick);
@@ -614,9 +617,14 @@
     }
 
     private double share(Route r, long now) {
-        // Guards a limit shared by many: regained shares add up, so each regains slower the more they are.
-        double pace = Math.min(1, FEW / nodes) / (REGAIN * target);
-        double grown = Math.min(1, r.share + (now - r.shareAt) * pace);
+        double grown;
+        if (r.limitSeen) {
+            grown = now - r.leftAt > target ? Math.min(r.share, RUSH * part(r, now)) : r.share;
+        } else {
+            // Guards a limit shared by many: regained shares add up, so each regains slower the more they are.
+            double pace = Math.min(1, FEW / nodes) / (REGAIN * target);
+            grown = Math.min(1, r.share + (now - r.shareAt) * pace);
+        }
         // Guards a limit shared by many nodes that see few refusals each: as the reported allowance runs low,
         // all fall back to their even part. Harm: where it counts by spans, the end of a span looks scarce.
         double even = part(r, now);
@@ -657,7 +665,8 @@
         return false;
     }
 
-    private void hear(Route r, double[] report, long now) {
+    private void hear(Endpoint e, double[] report, long now) {
+        Route r = e.route;
         if (rateAt >= 0 && rateAt < report.length && report[rateAt] > 0) {
             r.limit = r.limitSeen ? r.limit + LEARN_LIMIT * (report[rateAt] - r.limit) : report[rateAt];
             r.limitSeen = true;
@@ -665,9 +674,26 @@
         if (leftAt >= 0 && leftAt < report.length) {
             r.left = report[leftAt];
             r.leftAt = now;
+            if (r.limitSeen) {
+                steer(r, !e.to.line.isEmpty(), now);
+            }
         }
     }
 
+    /**
+     * Guards a limit shared by nodes that each see little of it: a share follows the reported allowance, up while
+     * some is left and mails wait here, so those with mails find what the others leave within a target delay or
+     * two; without mails it is at most where a rush may start, as a clump comes to all nodes at once. Harm: late
+     * reports make shares swing.
+     */
+    private void steer(Route r, boolean waiting, long now) {
+        double part = part(r, now);
+        double powers = STEER * (r.left - MIDDLE) * Math.min(target, now - r.shareAt) / target;
+        double most = waiting ? 1 : Math.min(1, RUSH * part);
+        r.share = Math.max(LEAST_SHARE * part, Math.min(most, r.share * Math.exp(powers)));
+        r.shareAt = now;
+    }
+
     // ---- What an outcome teaches ----
 
     private void learn(Connect c, Outcome outcome, long now) {
@@ -725,15 +751,18 @@
 
     private void deferred(Route r, long wait, long now) {
         pause(r, wait, true, now);
-        // A full that reports allowance left met a moment's rush: a pause is enough.
-        if (r.limitSeen && r.leftAt == now && r.left > SCARCE) {
-            return;
+        // A full that reports allowance left met a moment's rush, or the report is late: down to the part at most.
+        boolean rush = r.limitSeen && r.leftAt == now && r.left > SCARCE;
+        if (!rush) {
+            r.deferred.add(now);
         }
-        r.deferred.add(now);
-        if (now - r.shareAt > r.usual) {
+        if (now - r.fellAt > r.usual) {
             double part = part(r, now);
-            r.share = Math.max(LEAST_SHARE * part, Math.min(share(r, now), 2 * part) * BACK_OFF);
-            r.shareAt = now;
+            r.share = Math.max(part * (rush ? 1 : LEAST_SHARE), Math.min(share(r, now), RUSH * part) * BACK_OFF);
+            r.shareAt = r.fellAt = now;
+        }
+        if (rush) {
+            return;
         }
         if (r.deferredRun >= SHUT_RUN && now - r.relayedAt > SHUT_AFTER * target) {
             r.cold = true;
@@ -985,6 +1014,8 @@
                     (long) (RING_SPAN * target / RING), (long) (CAME_SPAN * target / RING));
             e.route.recent = e.route.usual = FIRST_USUAL * target;
             e.route.learnt = FIRST_LEARNT;
+            // Guards limits against many nodes that start at once, or find a new destination at once.
+            e.route.share = leftAt < 0 ? 1 : Math.min(1, RUSH / nodes);
         }
         if (!routes.contains(e.route)) {
             routes.removeIf(r -> r.endpoints == 0);
--- a/decisions/src/main/java/wrenreach/state/Route.java
+++ b/decisions/src/main/java/wrenreach/state/Route.java
@@ -22,6 +22,7 @@
     public long leftAt;
     public double share = 1;
     public long shareAt;
+    public long fellAt;
     public double tokens = 1;
     public long tokensAt;
     public long heldUntil;
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -53,6 +53,9 @@
         /** The time of the turn. */
         long turn();
 
+        /** How long ago the turn began, in microseconds: what is read now came later than {@link #turn} by this much. */
+        long turnAge();
+
         /** A connect ended. */
         void ended(HeldMail held, Connect connect, Outcome outcome, double[] report, boolean over);
 
@@ -295,10 +298,13 @@
             call.link.call = null;
         }
         long now = host.turn();
-        if (answer.outcome() instanceof Outcome.Full full && full.pause() > 0) {
-            toldToWait(call.connect.endpoint.route, now + full.pause());
+        Outcome outcome = answer.outcome();
+        if (outcome instanceof Outcome.Full full && full.pause() > 0) {
+            // Guards the told wait in a long turn, as at a start: it runs from when the answer came, not from the turn.
+            outcome = new Outcome.Full(full.pause() + host.turnAge());
+            toldToWait(call.connect.endpoint.route, now + full.pause() + host.turnAge());
         }
-        host.ended(call.held, call.connect, answer.outcome(), answer.report(), answer.over());
+        host.ended(call.held, call.connect, outcome, answer.report(), answer.over());
     }
 
     /** Gives the idle connections to this endpoint back. */
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -272,6 +272,10 @@
         return now;
     }
 
+    @Override public long turnAge() {
+        return clock.now() - now;
+    }
+
     private void endTurn() {
         if (!turning || phase == Phase.STOPPED) {
             return;
--- a/node/src/test/java/wrenreach/net/CallsTest.java
+++ b/node/src/test/java/wrenreach/net/CallsTest.java
@@ -43,6 +43,7 @@
     private final BlockingQueue<Outcome> ended = new LinkedBlockingQueue<>();
     private ServerSocket receiver;
     private volatile boolean holdBack;
+    private volatile long age;
 
     @BeforeEach void listen() throws Exception {
         receiver = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -61,6 +62,10 @@
         return System.nanoTime() / 1000;
     }
 
+    @Override public long turnAge() {
+        return age;
+    }
+
     @Override public void ended(HeldMail held, Connect connect, Outcome outcome, double[] report, boolean over) {
         ended.add(outcome);
     }
@@ -276,6 +281,17 @@
         }
     }
 
+    /** Guards the told wait where a turn takes long: it was counted from the turn's start, and ended too early. */
+    @Test void aToldWaitRunsFromWhenItIsHeard() throws Exception {
+        send(30 * SECOND);
+        try (Socket socket = accept()) {
+            hear(socket);
+            age = 70_000;
+            answer(socket, "HTTP/1.1 429 Full\r\nWait-Ms: 40");
+            assertThat(outcome()).isEqualTo(new Outcome.Full(110_000));
+        }
+    }
+
     @Test void aRevokedCallEndsItsConnection() throws Exception {
         Connect connect = send(30 * SECOND);
         try (Socket socket = accept()) {
