Even parts in a rush, no doubled pauses at a live limit, lowered limits believed sooner

Causes, each tried alone: Choice.part gave every node what came for it, and where all get more than the limit the parts add up to 1.6 of it; shares rose on reports up to 0.8 s old (all nodes saw 0.99 left while the limit was empty); Choice.pause doubled to 1.5-5 s a full on top of the lowered pace; Choice.hear took a fifth of a report, so a halved limit was learnt in 1.7 s. Ruled out: queues at endpoints (most fulls had waits told or reports of none left), slots, connections.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -34,14 +34,14 @@
     private static final double CUT_USUAL = 8, CUT_HUNG = 6, OVERDUE = 6, PLACES = 2, CLIP = 3, SLOWED = 4;
     // Weights of a new sample: the usual time must outlast a slow spell, the recent one must see it.
     private static final int LATE = 4, FIRST_LEARNT = 4;
-    private static final double LEARN = 0.03, LEARN_RECENT = 0.3, LEARN_LIMIT = 0.2;
+    private static final double LEARN = 0.03, LEARN_RECENT = 0.3, LEARN_LIMIT = 0.2, LEARN_FALL = 0.5;
     // Pace: parts of a route's limit, and of its reported allowance.
     private static final double BACK_OFF = 0.7, LEAST_SHARE = 0.5, FLOOR = 0.5, SCARCE_GAP = 0.5,
             SCARCE = 0.15, PLENTY = 0.65, FEW = 3;
     private static final int DOUBLINGS = 3;
     // Where reports tell the allowance: the share that a node starts from, in parts; how fast, in powers a target
     // delay, it follows what is left, and what is left where it stays.
-    private static final double RUSH = 2, STEER = 6, MIDDLE = 0.5;
+    private static final double RUSH = 1.5, STEER = 4, MIDDLE = 0.5, STALE = 0.3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
     // Usual times for which each of ROOMY nodes, longer of fewer, keeps a connection: an endpoint takes a few
@@ -607,8 +607,12 @@
      * limit, those without leave theirs. Harm: where all get more than the limit, so do the parts.
      */
     private double part(Route r, long now) {
-        double came = (plenty(r, now) / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
-        return Math.min(1, Math.max(1.0 / nodes, came / limit(r)));
+        double plenty = plenty(r, now);
+        double came = (plenty / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
+        double even = 1.0 / nodes;
+        // Where the even part is more than a mail in a target delay, all have mails in a rush: no one takes more then.
+        double sparse = Math.min(1, SECOND / (even * limit(r) * target));
+        return Math.min(1, even + Math.max(0, came / limit(r) - even) * Math.max(plenty, sparse));
     }
 
     /** The time between this node's mails at its part of the limit, within reason. */
@@ -668,14 +672,16 @@
     private void hear(Endpoint e, double[] report, long now) {
         Route r = e.route;
         if (rateAt >= 0 && rateAt < report.length && report[rateAt] > 0) {
-            r.limit = r.limitSeen ? r.limit + LEARN_LIMIT * (report[rateAt] - r.limit) : report[rateAt];
+            // A lowered limit is believed at once, by many nodes that see a report or two a second; a raised one slowly.
+            double off = r.limitSeen ? report[rateAt] - r.limit : report[rateAt];
+            r.limit += off * (r.limitSeen ? off < 0 ? LEARN_FALL : LEARN_LIMIT : 1);
             r.limitSeen = true;
         }
         if (leftAt >= 0 && leftAt < report.length) {
             r.left = report[leftAt];
             r.leftAt = now;
             if (r.limitSeen) {
-                steer(r, !e.to.line.isEmpty(), now);
+                steer(r, !e.to.line.isEmpty() && !r.cold, now);
             }
         }
     }
@@ -690,7 +696,11 @@
         double part = part(r, now);
         double powers = STEER * (r.left - MIDDLE) * Math.min(target, now - r.shareAt) / target;
         double most = waiting ? 1 : Math.min(1, RUSH * part);
-        r.share = Math.max(LEAST_SHARE * part, Math.min(most, r.share * Math.exp(powers)));
+        // Only fulls take it under the part: a limit counted by spans shows little left at each span's end.
+        double least = Math.min(r.share, part);
+        // Guards against reports older than the last full, which show all that it found used up.
+        most = now - r.fellAt < STALE * target ? Math.min(most, r.share) : most;
+        r.share = Math.max(least, Math.min(most, r.share * Math.exp(powers)));
         r.shareAt = now;
     }
 
@@ -776,10 +786,12 @@
      * long, each comes by chance in the time that all need. Harm: an opened receiver idles for a part of it.
      */
     private void pause(Route r, long wait, boolean full, long now) {
-        boolean scarce = full && now - r.relayedAt > target
-                || r.limitSeen && r.leftAt == now && r.left <= SCARCE;
-        double gap = scarce ? Math.max(r.usual, spacing(r, now) * (1 + chance(wait))) : r.usual;
+        boolean none = full && now - r.relayedAt > target;
+        boolean scarce = !none && r.limitSeen && r.leftAt == now && r.left <= SCARCE;
+        double gap = none ? Math.max(r.usual, spacing(r, now) * (1 + chance(wait))) : r.usual;
         gap = Math.min(2 * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
+        // A limit that relays is shared by pace: by chance each skips one of its turns in the mean, and no more.
+        gap = scarce ? 2 * spacing(r, now) * chance(wait) : gap;
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
         } else if (wait > 0) {
