Fresh mails go before late ones at the door too; the younger of late ones first

Both are the lines that change: ahead() counts only those worth as much, importance() falls with a mail's age. Also, the careful share at a start had no effect (Route.shareAt was 0, so the share had long grown back): found by the new test.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -127,7 +127,7 @@
         for (Route r : mail.to.routes) {
             r.came.add(now);
         }
-        long wait = expectedWait(mail.to, mail.to.line.size() - 1, now);
+        long wait = expectedWait(mail.to, ahead(mail, now), now);
         if (now + wait + usualOf(mail.to) > mail.endsBy) {
             end(mail, wait, now);
         } else if (held > heldLimit - Math.max(1, heldLimit / ROOM_PART)) {
@@ -183,7 +183,7 @@
             if (entry.state() == Listing.State.GONE) {
                 left.add(e);
             } else {
-                join(e);
+                join(e, now);
                 e.ready = entry.state() == Listing.State.READY;
                 e.route.weight = entry.weight() > 0 && e.ready ? entry.weight() : e.route.weight;
             }
@@ -244,6 +244,20 @@
         return over;
     }
 
+    /**
+     * How many mails of its line go before a new one: those worth as much, if it can be in time behind them, else all.
+     * Guards fresh mails against being turned away for a line of late ones that they would overtake.
+     */
+    private int ahead(Mail mail, long now) {
+        double worth = importance(mail, now);
+        int before = 0;
+        for (Mail m : mail.to.line) {
+            before += m != mail && importance(m, now) >= worth ? 1 : 0;
+        }
+        return now + expectedWait(mail.to, before, now) + usualOf(mail.to) <= mail.dueBy ? before
+                : mail.to.line.size() - 1;
+    }
+
     /** How long a mail waits that has so many before it. */
     private long expectedWait(Destination d, int ahead, long now) {
         long start = NEVER;
@@ -326,12 +340,16 @@
         return !m.overShare && now + usualOf(m.to) <= m.dueBy;
     }
 
-    /** All late mails count alike, as one that is a target delay late: among them the oldest goes first. */
+    /**
+     * What it is worth if sent now. Late mails go the younger first: whoever waits loses as much in that time, but
+     * where not all can be sent, the oldest have least left to lose.
+     */
     private double importance(Mail m, long now) {
         Settings.QueueClass kind = classOf(m);
+        double late = now + usualOf(m.to) - m.dueBy;
         double delay = kind.targetDelay();
-        double left = now + usualOf(m.to) <= m.dueBy ? 1 : kind.byHalf() ? Math.max(kind.lateShare(), 0.5)
-                : 1 - (1 - kind.lateShare()) * delay / Math.max(delay, kind.lifetime() - delay);
+        double left = late <= 0 ? 1 : kind.byHalf() ? Math.max(kind.lateShare(), Math.pow(0.5, late / delay))
+                : 1 - (1 - kind.lateShare()) * Math.min(1, late / Math.max(delay, kind.lifetime() - delay));
         return kind.importance() * left * (m.overShare ? overShareImportance : 1);
     }
 
@@ -1007,7 +1025,7 @@
         }
     }
 
-    private void join(Endpoint e) {
+    private void join(Endpoint e, long now) {
         if (e.listed) {
             return;
         }
@@ -1028,6 +1046,7 @@
             e.route.learnt = FIRST_LEARNT;
             // Guards limits against many nodes that start at once, or find a new destination at once.
             e.route.share = leftAt < 0 ? 1 : Math.min(1, RUSH / nodes);
+            e.route.shareAt = now;
         }
         if (!routes.contains(e.route)) {
             routes.removeIf(r -> r.endpoints == 0);
--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -621,6 +621,33 @@
         assertThat(route().share).isLessThan(1.5 / 14);
     }
 
+    /** A line of late mails turned fresh ones away, which would have gone before them. */
+    @Test void aFreshMailIsTakenThoughALineOfLateOnesWaits() {
+        s.nodes = 14;
+        s.weight = 10;
+        s.endpoint(1, 0);
+        for (int i = 0; i < 60; i++) {
+            s.mail(null);
+        }
+        int before = s.ever(Answer.Defer.class).size();
+        assertThat(before).as("the line is full").isPositive();
+        s.now += 3000 * Setup.MS;
+        Mail fresh = s.mail(null);
+        assertThat(fresh.over).isFalse();
+    }
+
+    /** Oldest first, all that were sent in a long rush had least left to lose. */
+    @Test void ofLateMailsTheYoungerGoesFirst() {
+        s.nodes = 14;
+        s.weight = 10;
+        s.endpoint(1, 0);
+        s.mail(null);
+        s.now += 1000 * Setup.MS;
+        Mail younger = s.mail(null);
+        s.now += 5000 * Setup.MS;
+        assertThat(s.turn(0).get(0).mail).isSameAs(younger);
+    }
+
     /** A clump comes to all nodes at once, and each of them took all of the allowance for its own. */
     @Test void withoutMailsTheShareStaysWhereARushMayStart() {
         s.nodes = 14;
