Tries of watch, list and notices after a failure pause longer and partly by chance

Need: against an overbooked discovery all nodes asked again after the same 250 ms, and a whole list that took over 1 s was thrown away and asked for again; notices went again every 100 ms. Pauses double from 250 ms to 2 s (notices 100 to 400 ms) with half by chance from the node's seed; the patience for a whole list grows alike; a move of discovery no longer leaves a second watch behind when it comes between a failure and the next try.

--- a/node/src/main/java/wrenreach/net/Discovery.java
+++ b/node/src/main/java/wrenreach/net/Discovery.java
@@ -33,6 +33,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import wrenreach.log.LogEvent;
 
@@ -41,8 +42,10 @@
     private static final System.Logger LOG = System.getLogger(Discovery.class.getName());
     private static final int LINE_LIMIT = 4 << 20;
     /** A watch says something every 2 s: two lines missed, and it is made anew. */
-    private static final long SILENCE_MS = 4500, CONNECT_MS = 1000, AGAIN_MS = 250;
-    /** The whole list is answered at once. */
+    private static final long SILENCE_MS = 4500, CONNECT_MS = 1000;
+    /** Between a failure and the next try. What waits to be told counts as told within seconds, so they stay short. */
+    private static final long FIRST_PAUSE_MS = 250, LONGEST_PAUSE_MS = 2000;
+    /** The whole list is answered at once, or later where many ask for it. */
     private static final long WHOLE_MS = 1000;
 
     /** What discovery reports. */
@@ -56,6 +59,7 @@
     private final EventLoop loop;
     private final Host host;
     private final boolean again;
+    private final Pauses pauses;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
     private long index;
@@ -64,16 +68,20 @@
     private boolean following;
     /** Connections in use; those left behind by a move are none of them. */
     private final Set<Channel> open = new LinkedHashSet<>();
+    /** The next try after a failure. */
+    private Future<?> next;
     private boolean silent;
     private boolean stopped;
 
-    /** again: a broken watch is made anew at once, not only when asked for. */
-    public Discovery(EventLoop loop, ChannelFactory<? extends Channel> connecting, Host host, InetSocketAddress address, long index, boolean again) {
+    /** again: a broken watch is made anew after a pause, not only when asked for; seed: of the pauses. */
+    public Discovery(EventLoop loop, ChannelFactory<? extends Channel> connecting, Host host, InetSocketAddress address, long index, boolean again,
+                     long seed) {
         this.loop = loop;
         this.host = host;
         this.address = address;
         this.index = index;
         this.again = again;
+        pauses = new Pauses(FIRST_PAUSE_MS, LONGEST_PAUSE_MS, seed);
         bootstrap = new Bootstrap().group(loop).channelFactory(connecting)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_MS);
@@ -82,6 +90,10 @@
     /** Asks for changes from the last known version on, and for the whole list first where that is in doubt. */
     public void follow() {
         following = true;
+        if (next != null) {
+            // Guards against a second watch where a move comes between a failure and the next try.
+            next.cancel(false);
+        }
         if (!versionHolds) {
             whole(true);
             return;
@@ -102,7 +114,7 @@
     private void whole(boolean thenFollow) {
         ask("/api/targets", thenFollow, new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new ReadTimeoutHandler(WHOLE_MS, TimeUnit.MILLISECONDS),
+                channel.pipeline().addLast(new ReadTimeoutHandler(pauses.stretched(WHOLE_MS), TimeUnit.MILLISECONDS),
                         new HttpClientCodec(), new HttpObjectAggregator(LINE_LIMIT), new Whole(thenFollow));
             }
         });
@@ -118,6 +130,7 @@
         }
         address = to;
         versionHolds = false;
+        pauses.over();
         List<Channel> left = new ArrayList<>(open);
         open.clear();
         left.forEach(Channel::close);
@@ -158,7 +171,7 @@
                     "why", why, "index", index);
         }
         if (again && watch) {
-            loop.schedule(this::follow, AGAIN_MS, TimeUnit.MILLISECONDS);
+            next = loop.schedule(this::follow, pauses.next(), TimeUnit.MILLISECONDS);
         } else {
             following &= !watch;
             host.listFailed();
@@ -174,6 +187,7 @@
             ListLine list = ListReader.read(line);
             index = list.index();
             versionHolds = true;
+            pauses.over();
             if (silent) {
                 silent = false;
                 LogEvent.tell(LOG, Level.INFO, "discovery.heard", "discovery: heard again, list {index}", "index", index);
--- a/node/src/main/java/wrenreach/net/Notices.java
+++ b/node/src/main/java/wrenreach/net/Notices.java
@@ -39,7 +39,7 @@
 public final class Notices {
     private static final System.Logger LOG = System.getLogger(Notices.class.getName());
     private static final JsonFactory JSON = new JsonFactory();
-    private static final long ANSWER_MS = 1000, AGAIN_MS = 100;
+    private static final long ANSWER_MS = 1000, FIRST_PAUSE_MS = 100, LONGEST_PAUSE_MS = 400;
     private static final int ANSWER_LIMIT = 64 * 1024;
     /** Notices in one post; each is far shorter than its part of a body's limit. */
     private static final int BATCH = 200;
@@ -47,6 +47,7 @@
     private final EventLoop loop;
     private final ChannelFactory<? extends Channel> connecting;
     private final Consumer<HeldMail> heard;
+    private final Pauses pauses;
     private final Set<HeldMail> untold = new LinkedHashSet<>();
     private InetSocketAddress address;
     private List<HeldMail> posted = List.of();
@@ -55,12 +56,14 @@
     private boolean failing;
     private Future<?> patience;
 
-    /** heard: told of each mail whose notice was answered. */
-    public Notices(EventLoop loop, ChannelFactory<? extends Channel> connecting, InetSocketAddress address, Consumer<HeldMail> heard) {
+    /** heard: told of each mail whose notice was answered; seed: of the pauses after a failure. */
+    public Notices(EventLoop loop, ChannelFactory<? extends Channel> connecting, InetSocketAddress address, Consumer<HeldMail> heard,
+                   long seed) {
         this.loop = loop;
         this.connecting = connecting;
         this.address = address;
         this.heard = heard;
+        pauses = new Pauses(FIRST_PAUSE_MS, LONGEST_PAUSE_MS, seed);
     }
 
     public void add(HeldMail held) {
@@ -166,7 +169,7 @@
                     "why", why, "kept", untold.size());
         }
         leave();
-        loop.schedule(this::flush, AGAIN_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::flush, pauses.next(), TimeUnit.MILLISECONDS);
     }
 
     private void answered(FullHttpResponse response) {
@@ -175,6 +178,7 @@
             return;
         }
         patience.cancel(false);
+        pauses.over();
         if (failing) {
             failing = false;
             LogEvent.tell(LOG, Level.INFO, "notices.answered", "notices: answered again");
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -121,9 +121,10 @@
         door = new Door(group, sockets.listening(), this, (int) Math.min(affordable, config.descriptors() - taken));
         calls = new Calls(loop, sockets.connecting(), this, config.reportNames(), settings.connectionIdle(),
                 settings.connectionTimeout(), idle);
-        notices = new Notices(loop, sockets.connecting(), config.discovery(), this::heard);
+        notices = new Notices(loop, sockets.connecting(), config.discovery(), this::heard,
+                settings.seed());
         discovery = new Discovery(loop, sockets.connecting(), this, config.discovery(), config.known().index(),
-                !settings.listOnRequest());
+                !settings.listOnRequest(), ~settings.seed());
     }
 
     public void start() {
