Try: a sparse node that knows no limit paces a route as cold after its first failure

Also found: the site gives no weights, but its list holds 1 in their place, which Choice.listed took for a rate of one call a second.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -56,7 +56,7 @@
 
     private final int nodes, me, zone, slots, lane, heldLimit, tries, leftAt, rateAt, proof;
     private final long seed, tick, retryAfterLimit, idleFor, askEvery, coldFor, orderSettle, target;
-    private final boolean copies, mayCallOff, listOnRequest;
+    private final boolean copies, mayCallOff, listOnRequest, weighed;
     private final double overShareImportance, coldFrom, overload;
     private final List<Settings.QueueClass> classes;
     private final List<Settings.Kind> kinds;
@@ -89,6 +89,7 @@
         retryAfterLimit = s.retryAfterTold() ? s.retryAfterLimit() : 0;
         idleFor = s.connectionIdle();
         listOnRequest = s.listOnRequest();
+        weighed = s.weightsGiven();
         askEvery = s.listAskWithin() / ASK_PART;
         overShareImportance = s.overShareImportance();
         leftAt = s.allowanceLeftAt();
@@ -126,6 +127,7 @@
         wait(mail, mail.to.line.size());
         for (Route r : mail.to.routes) {
             r.came.add(now);
+            r.mails++;
         }
         long wait = expectedWait(mail.to, ahead(mail, now), now);
         if (now + wait + usualOf(mail.to) > mail.endsBy) {
@@ -185,7 +187,8 @@
             } else {
                 join(e, now);
                 e.ready = entry.state() == Listing.State.READY;
-                e.route.weight = entry.weight() > 0 && e.ready ? entry.weight() : e.route.weight;
+                // Where the settings give no weights, what a list has in their place is no rate.
+                e.route.weight = weighed && entry.weight() > 0 && e.ready ? entry.weight() : e.route.weight;
             }
         }
         left.forEach(Choice::leave);
@@ -616,7 +619,14 @@
         if (r.limitSeen) {
             return r.limit;
         }
-        return r.weight > 0 ? r.weight : SECOND * slots * nodes / r.usual / Math.max(1, known.size());
+        if (r.weight > 0) {
+            return r.weight;
+        }
+        // Nothing tells the limit: what all slots could do shared evenly by the destinations, or what came here, as if
+        // to each node. Guards small receivers that return: their part of the slots is many times what they take.
+        double shared = SECOND * slots * nodes / r.usual / Math.max(1, known.size());
+        double came = (double) SECOND * nodes * Math.max(1, r.mails) / Math.max(target, turnAt - r.knownFrom);
+        return Math.min(shared, came);
     }
 
     /**
@@ -833,7 +843,8 @@
             pause(r, 0, false, now);
             // Guards a route among siblings against many nodes that fail there once: others can be tried,
             // so the first failure with no relay of late paces it as cold. Harm: a stray one does so too.
-            boolean spare = c.endpoint.to.routes.size() > 1 && now - r.relayedAt > target;
+            boolean spare = (c.endpoint.to.routes.size() > 1 || !r.limitSeen && r.sent.sum(now) < LEAST_RUN)
+                    && now - r.relayedAt > target;
             if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
@@ -1046,7 +1057,7 @@
             e.route.learnt = FIRST_LEARNT;
             // Guards limits against many nodes that start at once, or find a new destination at once.
             e.route.share = leftAt < 0 ? 1 : Math.min(1, RUSH / nodes);
-            e.route.shareAt = now;
+            e.route.shareAt = e.route.knownFrom = now;
         }
         if (!routes.contains(e.route)) {
             routes.removeIf(r -> r.endpoints == 0);
--- a/decisions/src/main/java/wrenreach/state/Route.java
+++ b/decisions/src/main/java/wrenreach/state/Route.java
@@ -15,6 +15,9 @@
     public final BucketRing timedOut;
     public final BucketRing deferred;
     public final BucketRing sent;
+    public long knownFrom;
+    /** All that came for it. */
+    public long mails;
     public double weight;
     public double limit;
     public boolean limitSeen;
