Sparse nodes start a rush from the whole share; weights only where the settings give them

Cause: Choice.steer and the share at a start held nodes whose even part is less than a mail in a target delay to 1.5 of it, so a lone mail waited seconds for its token though reports told all was left. Ruled out by the first repair bringing all of it back: the order of late mails, admission, pauses, limits believed sooner. A rush now starts from the whole share where nodes are that sparse (rush(), by settings and limit alone).

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -185,10 +185,15 @@
             if (entry.state() == Listing.State.GONE) {
                 left.add(e);
             } else {
+                boolean fresh = e.route == null;
                 join(e, now);
                 e.ready = entry.state() == Listing.State.READY;
                 // Where the settings give no weights, what a list has in their place is no rate.
                 e.route.weight = weighed && entry.weight() > 0 && e.ready ? entry.weight() : e.route.weight;
+                // Guards limits against many nodes that start at once, or find a new destination at once.
+                if (fresh && leftAt >= 0) {
+                    e.route.share = Math.min(e.route.share, rush(e.route, 1.0 / nodes));
+                }
             }
         }
         left.forEach(Choice::leave);
@@ -639,8 +644,17 @@
         double came = (plenty / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
         double even = 1.0 / nodes;
         // Where the even part is more than a mail in a target delay, all have mails in a rush: no one takes more then.
-        double sparse = Math.min(1, SECOND / (even * limit(r) * target));
-        return Math.min(1, even + Math.max(0, came / limit(r) - even) * Math.max(plenty, sparse));
+        return Math.min(1, even + Math.max(0, came / limit(r) - even) * Math.max(plenty, sparse(r)));
+    }
+
+    /** 1 where the even part is a mail in a target delay or less, so that a node's mail is alone; else that over it. */
+    private double sparse(Route r) {
+        return Math.min(1, SECOND * (double) nodes / (limit(r) * target));
+    }
+
+    /** The share from which a rush may start: a clump comes to all nodes at once, but for sparse ones. */
+    private double rush(Route r, double part) {
+        return Math.min(1, Math.max(RUSH * part, sparse(r) * sparse(r)));
     }
 
     /** The time between this node's mails at its part of the limit, within reason. */
@@ -651,7 +665,7 @@
     private double share(Route r, long now) {
         double grown;
         if (r.limitSeen) {
-            grown = now - r.leftAt > target ? Math.min(r.share, RUSH * part(r, now)) : r.share;
+            grown = now - r.leftAt > target ? Math.min(r.share, rush(r, part(r, now))) : r.share;
         } else {
             // Guards a limit shared by many: regained shares add up, so each regains slower the more they are.
             double pace = Math.min(1, FEW / nodes) / (REGAIN * target);
@@ -723,7 +737,7 @@
     private void steer(Route r, boolean waiting, long now) {
         double part = part(r, now);
         double powers = STEER * (r.left - MIDDLE) * Math.min(target, now - r.shareAt) / target;
-        double most = waiting ? 1 : Math.min(1, RUSH * part);
+        double most = waiting ? 1 : rush(r, part);
         // Only fulls take it under the part: a limit counted by spans shows little left at each span's end.
         double least = Math.min(r.share, part);
         // Guards against reports older than the last full, which show all that it found used up.
@@ -843,8 +857,7 @@
             pause(r, 0, false, now);
             // Guards a route among siblings against many nodes that fail there once: others can be tried,
             // so the first failure with no relay of late paces it as cold. Harm: a stray one does so too.
-            boolean spare = (c.endpoint.to.routes.size() > 1 || !r.limitSeen && r.sent.sum(now) < LEAST_RUN)
-                    && now - r.relayedAt > target;
+            boolean spare = c.endpoint.to.routes.size() > 1 && now - r.relayedAt > target;
             if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
@@ -1055,8 +1068,6 @@
                     (long) (RING_SPAN * target / RING), (long) (CAME_SPAN * target / RING));
             e.route.recent = e.route.usual = FIRST_USUAL * target;
             e.route.learnt = FIRST_LEARNT;
-            // Guards limits against many nodes that start at once, or find a new destination at once.
-            e.route.share = leftAt < 0 ? 1 : Math.min(1, RUSH / nodes);
             e.route.shareAt = e.route.knownFrom = now;
         }
         if (!routes.contains(e.route)) {
