Each node has a steady order of endpoints of its own

Cause: Choice.pick kept the first of equal costs, which thin traffic nearly always has, so all 14 nodes sent to the same endpoint: 15 calls against 6, 14 against 4 in a tenth of a second at a destination of two, counted over the fleet; its queue refused though allowance was left. Costs are told apart by a CRC32 of node and endpoint, steady so that connections are used again.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -383,7 +383,7 @@
             }
             double cost = e.out + (idle(e, now) ? 0 : NEW_CONNECTION) + (e.zone == zone ? 0 : OTHER_ZONE)
                     + (shunned(e, now) ? SHUN : 0) + (lastAt(m) == e ? TRIED : 0)
-                    + (joins(e, now) ? JOIN : 0);
+                    + (joins(e, now) ? JOIN : 0) + e.order;
             if (cost < least) {
                 least = cost;
                 best = e;
@@ -1076,6 +1076,11 @@
         }
         e.route.endpoints++;
         e.to.endpoints.add(e);
+        // Guards a destination's first endpoint against all nodes, which see equal costs nearly always: each has a
+        // steady order of its own, so that connections are used again. Harm: none known.
+        CRC32 crc = new CRC32();
+        crc.update(ByteBuffer.allocate(12).putInt(me).putLong(e.address).array());
+        e.order = crc.getValue() / (double) (1L << 32);
     }
 
     /** Guards memory, and the places of those that stay, against endpoints gone for good. */
--- a/decisions/src/main/java/wrenreach/state/Endpoint.java
+++ b/decisions/src/main/java/wrenreach/state/Endpoint.java
@@ -13,6 +13,8 @@
     public boolean ready;
     /** Whether its destination has it: a list names it. */
     public boolean listed;
+    /** From 0 to under 1: which of a destination's endpoints this node prefers at equal costs. */
+    public double order;
     public int out;
     public Call joining;
     public int failedRun;
--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -629,6 +629,20 @@
         assertThat(route().share).isEqualTo(1);
     }
 
+    /** All nodes sent to the first of a destination's endpoints, as costs are equal where traffic is thin. */
+    @Test void nodesPreferDifferentEndpoints() {
+        int first = 0;
+        for (int me = 0; me < 14; me++) {
+            Setup node = new Setup();
+            node.me = me;
+            node.nodes = 14;
+            Endpoint one = node.endpoint(1, 0);
+            node.endpoint(2, 0);
+            first += node.send().endpoint == one ? 1 : 0;
+        }
+        assertThat(first).isBetween(4, 10);
+    }
+
     /** A list without weights holds a number in their place, which was taken for a rate. */
     @Test void whereTheSettingsGiveNoWeightsTheLimitIsGuessedFromWhatCame() {
         s.weighed = false;
--- a/decisions/src/test/java/wrenreach/Setup.java
+++ b/decisions/src/test/java/wrenreach/Setup.java
@@ -24,6 +24,7 @@
     boolean apart;
     boolean copies;
     int nodes = 2;
+    int me;
     int batch = 1;
     int slots = 100;
     int held = 1000;
@@ -40,7 +41,7 @@
 
     Choice choice() {
         if (choice == null) {
-            choice = new Choice(new Settings(0, nodes, 0, 5 * MS, 7, held, slots, tries, 1, copies, true, true, 2000 * MS,
+            choice = new Choice(new Settings(me, nodes, 0, 5 * MS, 7, held, slots, tries, 1, copies, true, true, 2000 * MS,
                     5000 * MS, 1000 * MS, ask, 10_000 * MS, weighed, false, 0.1, 0, 1,
                     List.of(new Settings.QueueClass(2500 * MS, 28_000 * MS, 1, 0.3, false, effect, group, 7500 * MS,
                             inOrder)),
