Fulls take a share under what came to a node, to a part of the even one at least

Cause: Choice.deferred let a share fall to half of this node's part at most, and part() counts what came. Where all nodes get mails for a limit, the parts add up to the traffic, not to the limit, and refused calls use the limit up. Harmless at three nodes, which hold the limit between them anyway.

Ruled out: slots (13 of 360 out), held mails (no node full), breakers (none open), the door.

Now the least share is a part of the even one, so the sum over all nodes comes under the limit.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -810,7 +810,8 @@
         }
         if (now - r.fellAt > r.usual) {
             double part = part(r, now);
-            r.share = Math.max(part * (rush ? 1 : LEAST_SHARE), Math.min(share(r, now), RUSH * part) * BACK_OFF);
+            // Not under the even part: what came here adds up to many times the limit where all nodes have mails.
+            r.share = Math.max((rush ? 1 : LEAST_SHARE) / nodes, Math.min(share(r, now), RUSH * part) * BACK_OFF);
             r.shareAt = r.fellAt = now;
         }
         if (rush) {
--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -621,6 +621,22 @@
         assertThat(route().share).isLessThan(1.5 / 14);
     }
 
+    /** 100 nodes with mails for a limit of 16 a second kept half of what came to each: several times the limit in sum. */
+    @Test void fullsTakeTheShareUnderWhatCame() {
+        s.nodes = 100;
+        s.weight = 16;
+        Route r = s.endpoint(1, 0).route;
+        for (int i = 0; i < 60; i++) {
+            s.mail(null);
+        }
+        for (int fulls = 0; fulls < 5; fulls++) {
+            r.heldUntil = 0;
+            r.tokens = 1;
+            s.turn(500).forEach(c -> report(c, new Outcome.Full(0), 0));
+        }
+        assertThat(r.share).isBetween(0.5 / 100, 0.1);
+    }
+
     /** All nodes sent to the first of a destination's endpoints, as costs are equal where traffic is thin. */
     @Test void nodesPreferDifferentEndpoints() {
         int first = 0;
