Shares regain in time, turns after a full come by chance, cold pace by the even part

Changed: a full spends what was saved up and the next turn comes by chance in up to two; a share whose last report is older than a target delay regains as without reports; the floor holds only where no limit is told; a cold route is paced by the even part or the share that fulls have left, if more.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -39,8 +39,8 @@
     private static final double BACK_OFF = 0.7, LEAST_SHARE = 0.5, FLOOR = 0.5, SCARCE_GAP = 0.5,
             SCARCE = 0.15, PLENTY = 0.65, FEW = 3;
     private static final int DOUBLINGS = 3;
-    // Where reports tell the allowance: the share that a node starts from, in parts; how fast, in powers a target
-    // delay, it follows what is left, and what is left where it stays.
+    // Where reports tell the allowance: the share that a node starts from, in parts; how fast, in powers a
+    // target delay, it follows what is left, and what is left where it stays.
     private static final double RUSH = 1.5, STEER = 4, MIDDLE = 0.5, STALE = 0.3;
     // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
     private static final double WARMS = 0.7;
@@ -253,8 +253,9 @@
     }
 
     /**
-     * How many mails of its line go before a new one: those worth as much, if it can be in time behind them, else all.
-     * Guards fresh mails against being turned away for a line of late ones that they would overtake.
+     * How many mails of its line go before a new one: those worth as much, if it can be in time behind them,
+     * else all. Guards fresh mails against being turned away for a line of late ones that they would
+     * overtake.
      */
     private int ahead(Mail mail, long now) {
         double worth = importance(mail, now);
@@ -349,8 +350,8 @@
     }
 
     /**
-     * What it is worth if sent now. Late mails go the younger first: whoever waits loses as much in that time, but
-     * where not all can be sent, the oldest have least left to lose.
+     * What it is worth if sent now. Late mails go the younger first: whoever waits loses as much in that
+     * time, but where not all can be sent, the oldest have least left to lose.
      */
     private double importance(Mail m, long now) {
         Settings.QueueClass kind = classOf(m);
@@ -460,7 +461,8 @@
             if (c.neverRan) {
                 continue;
             }
-            if (kind.effect() == Settings.Effect.ONCE_ONLY || now > repeatsBy(kind, c) || !sameGroup(kind, c.endpoint, e)) {
+            boolean once = kind.effect() == Settings.Effect.ONCE_ONLY;
+            if (once || now > repeatsBy(kind, c) || !sameGroup(kind, c.endpoint, e)) {
                 return false;
             }
         }
@@ -627,8 +629,9 @@
         if (r.weight > 0) {
             return r.weight;
         }
-        // Nothing tells the limit: what all slots could do shared evenly by the destinations, or what came here, as if
-        // to each node. Guards small receivers that return: their part of the slots is many times what they take.
+        // Nothing tells the limit: what all slots could do shared evenly by the destinations, or what came
+        // here, as if to each node. Guards small receivers that return: their part of the slots is many times
+        // what they take.
         double shared = SECOND * slots * nodes / r.usual / Math.max(1, known.size());
         double came = (double) SECOND * nodes * Math.max(1, r.mails) / Math.max(target, turnAt - r.knownFrom);
         return Math.min(shared, came);
@@ -643,11 +646,12 @@
         double plenty = plenty(r, now);
         double came = (plenty / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
         double even = 1.0 / nodes;
-        // Where the even part is more than a mail in a target delay, all have mails in a rush: no one takes more then.
+        // Where the even part is more than a mail in a target delay, all have mails in a rush: no one takes
+        // more then.
         return Math.min(1, even + Math.max(0, came / limit(r) - even) * Math.max(plenty, sparse(r)));
     }
 
-    /** 1 where the even part is a mail in a target delay or less, so that a node's mail is alone; else that over it. */
+    /** 1 where the even part is a mail in a target delay or less, so that one is alone; else that over it. */
     private double sparse(Route r) {
         return Math.min(1, SECOND * (double) nodes / (limit(r) * target));
     }
@@ -662,19 +666,20 @@
         return Math.min(SCARCE_GAP * target, SECOND / limit(r) / part(r, now));
     }
 
+    /**
+     * This node's share of the limit as it stands. Guards a limit shared by many: regained shares add up, so
+     * each regains slower the more they are. Reports move it; a node that has heard none for a target delay
+     * regains as without, to where a rush may start, or a few fulls would outlast the rush that they met.
+     */
     private double share(Route r, long now) {
-        double grown;
-        if (r.limitSeen) {
-            grown = now - r.leftAt > target ? Math.min(r.share, rush(r, part(r, now))) : r.share;
-        } else {
-            // Guards a limit shared by many: regained shares add up, so each regains slower the more they are.
-            double pace = Math.min(1, FEW / nodes) / (REGAIN * target);
-            grown = Math.min(1, r.share + (now - r.shareAt) * pace);
-        }
+        double part = part(r, now);
+        boolean stale = r.limitSeen && now - r.leftAt > target;
+        long since = r.limitSeen ? Math.max(r.shareAt, r.leftAt + target) : r.shareAt;
+        double regained = r.share + Math.max(0, now - since) * Math.min(1, FEW / nodes) / (REGAIN * target);
+        double grown = Math.min(regained, stale ? rush(r, part) : 1);
         // Guards a limit shared by many nodes that see few refusals each: as the reported allowance runs low,
         // all fall back to their even part. Harm: where it counts by spans, the end of a span looks scarce.
-        double even = part(r, now);
-        return Math.min(grown, even + (1 - even) * plenty(r, now));
+        return Math.min(grown, part + (1 - part) * plenty(r, now));
     }
 
     /** From 1 where allowance is left, or no report of late tells, to 0 where there is none. */
@@ -686,15 +691,18 @@
     }
 
     private double pace(Route r, long now) {
-        // Guards a sparse node's only mail, whose lowered share would outlast it. Harm: many floors add up.
-        double pace = Math.max(limit(r) * share(r, now), plenty(r, now) * SECOND / (FLOOR * target));
+        // Guards a sparse node's only mail, whose lowered share would outlast it. Where reports tell the
+        // limit shares regain in time instead: the floors of 100 nodes come to several small limits.
+        double pace = Math.max(limit(r) * share(r, now), r.limitSeen ? 0 : SECOND / (FLOOR * target));
         if (r.cold && r.warmsFrom != NEVER && now >= r.warmsFrom + coldFor) {
             r.cold = false;
         }
         if (r.cold) {
             double warm = r.warmsFrom == NEVER ? 0 : (double) (now - r.warmsFrom) / (WARMS * coldFor);
             double can = limit(r) * (coldFrom + (1 - coldFrom) * warm);
-            pace = Math.min(pace, overload * can * part(r, now));
+            // Not more than the even part or the share that fulls have left: parts add up to the traffic, and
+            // a returning receiver would get all of it.
+            pace = Math.min(pace, overload * can * Math.min(part(r, now), Math.max(1.0 / nodes, r.share)));
         }
         return pace;
     }
@@ -714,7 +722,8 @@
     private void hear(Endpoint e, double[] report, long now) {
         Route r = e.route;
         if (rateAt >= 0 && rateAt < report.length && report[rateAt] > 0) {
-            // A lowered limit is believed at once, by many nodes that see a report or two a second; a raised one slowly.
+            // A lowered limit is believed at once, by many nodes that see a report or two a second; a raised
+            // one slowly.
             double off = r.limitSeen ? report[rateAt] - r.limit : report[rateAt];
             r.limit += off * (r.limitSeen ? off < 0 ? LEARN_FALL : LEARN_LIMIT : 1);
             r.limitSeen = true;
@@ -729,10 +738,10 @@
     }
 
     /**
-     * Guards a limit shared by nodes that each see little of it: a share follows the reported allowance, up while
-     * some is left and mails wait here, so those with mails find what the others leave within a target delay or
-     * two; without mails it is at most where a rush may start, as a clump comes to all nodes at once. Harm: late
-     * reports make shares swing.
+     * Guards a limit shared by nodes that each see little of it: a share follows the reported allowance, up
+     * while some is left and mails wait here, so those with mails find what the others leave within a target
+     * delay or two; without mails it is at most where a rush may start, as a clump comes to all nodes at
+     * once. Harm: late reports make shares swing.
      */
     private void steer(Route r, boolean waiting, long now) {
         double part = part(r, now);
@@ -803,16 +812,21 @@
 
     private void deferred(Route r, long wait, long now) {
         pause(r, wait, true, now);
-        // A full that reports allowance left met a moment's rush, or the report is late: down to the part at most.
+        // A full that reports allowance left met a moment's rush, or the report is late: down to the part at
+        // most.
         boolean rush = r.limitSeen && r.leftAt == now && r.left > SCARCE;
         if (!rush) {
             r.deferred.add(now);
         }
         if (now - r.fellAt > r.usual) {
-            double part = part(r, now);
-            // Not under the even part: what came here adds up to many times the limit where all nodes have mails.
-            r.share = Math.max((rush ? 1 : LEAST_SHARE) / nodes, Math.min(share(r, now), RUSH * part) * BACK_OFF);
+            // Not under the even part: what came here adds up to many times the limit where all nodes have
+            // mails.
+            double least = (rush ? 1 : LEAST_SHARE) / nodes;
+            r.share = Math.max(least, Math.min(share(r, now), RUSH * part(r, now)) * BACK_OFF);
             r.shareAt = r.fellAt = now;
+            // What was saved up is spent, and the next turn comes by chance in up to two of them: all nodes
+            // meet a limit at once, and would come again in step.
+            r.tokens = rush ? r.tokens : Math.min(r.tokens, 0) - chance(now);
         }
         if (rush) {
             return;
@@ -833,7 +847,8 @@
         boolean scarce = !none && r.limitSeen && r.leftAt == now && r.left <= SCARCE;
         double gap = none ? Math.max(r.usual, spacing(r, now) * (1 + chance(wait))) : r.usual;
         gap = Math.min(2 * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
-        // A limit that relays is shared by pace: by chance each skips one of its turns in the mean, and no more.
+        // A limit that relays is shared by pace: by chance each skips one of its turns in the mean, and no
+        // more.
         gap = scarce ? 2 * spacing(r, now) * chance(wait) : gap;
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
@@ -1077,8 +1092,8 @@
         }
         e.route.endpoints++;
         e.to.endpoints.add(e);
-        // Guards a destination's first endpoint against all nodes, which see equal costs nearly always: each has a
-        // steady order of its own, so that connections are used again. Harm: none known.
+        // Guards a destination's first endpoint against all nodes, which see equal costs nearly always: each
+        // has a steady order of its own, so that connections are used again. Harm: none known.
         CRC32 crc = new CRC32();
         crc.update(ByteBuffer.allocate(12).putInt(me).putLong(e.address).array());
         e.order = crc.getValue() / (double) (1L << 32);
--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import wrenreach.api.Answer;
 import wrenreach.api.Listing;
@@ -637,6 +639,51 @@
         assertThat(r.share).isBetween(0.5 / 100, 0.1);
     }
 
+    /** Nodes that met a limit at once came again at once, and met it again. */
+    @Test void afterAFullTheNextTurnComesByChance() {
+        Set<Double> tokens = new HashSet<>();
+        for (int me = 0; me < 10; me++) {
+            Setup node = new Setup();
+            node.me = me;
+            node.nodes = 100;
+            Route r = node.endpoint(1, 0).route;
+            node.answers.addAll(node.choice().ended(node.send(), new Outcome.Full(0), new double[] {0, 10}, false, node.now));
+            tokens.add(r.tokens);
+        }
+        assertThat(tokens).hasSize(10).allMatch(t -> t <= 0 && t >= -1);
+    }
+
+    /** A share that fulls had lowered stayed so until a report came, which takes a send: at 100 nodes a minute. */
+    @Test void aShareRegainsWhereNoReportComes() {
+        s.nodes = 100;
+        Route r = s.endpoint(1, 0).route;
+        report(s.send(), new Outcome.Relayed(), 0);
+        r.limit = 16;
+        r.share = 0.5 / 100;
+        r.tokens = 0;
+        r.tokensAt = s.now;
+        s.mail(null);
+        assertThat(s.turn(10_000)).hasSize(1);
+    }
+
+    /** A returning receiver got its cold pace from each node's part of the traffic: many times what it can do. */
+    @Test void theColdPaceOfAllNodesIsNoMoreThanTheReceiverCanDo() {
+        s.nodes = 100;
+        Route r = s.endpoint(1, 0).route;
+        report(s.send(), new Outcome.Relayed(), 1);
+        for (int i = 0; i < 60; i++) {
+            s.mail(null);
+        }
+        r.limit = 100;
+        r.share = 1.0 / 100;
+        r.cold = true;
+        r.warmsFrom = Long.MAX_VALUE;
+        r.tokens = 0;
+        r.tokensAt = s.now;
+        assertThat(s.turn(2000)).as("0.375 a second").isEmpty();
+        assertThat(s.turn(1000)).hasSize(1);
+    }
+
     /** All nodes sent to the first of a destination's endpoints, as costs are equal where traffic is thin. */
     @Test void nodesPreferDifferentEndpoints() {
         int first = 0;
