--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -691,9 +691,9 @@
     }
 
     private double pace(Route r, long now) {
-        // Guards a sparse node's only mail, whose lowered share would outlast it. Where reports tell the
-        // limit shares regain in time instead: the floors of 100 nodes come to several small limits.
-        double pace = Math.max(limit(r) * share(r, now), r.limitSeen ? 0 : SECOND / (FLOOR * target));
+        // Guards a sparse node's only mail, whose lowered share would outlast it. Not once the allowance runs
+        // low: the floors of 100 nodes come to several small limits.
+        double pace = Math.max(limit(r) * share(r, now), plenty(r, now) < 1 ? 0 : SECOND / (FLOOR * target));
         if (r.cold && r.warmsFrom != NEVER && now >= r.warmsFrom + coldFor) {
             r.cold = false;
         }
@@ -745,7 +745,10 @@
      */
     private void steer(Route r, boolean waiting, long now) {
         double part = part(r, now);
-        double powers = STEER * (r.left - MIDDLE) * Math.min(target, now - r.shareAt) / target;
+        // A report speaks for no more than the time by which it may be old. Guards against many nodes that
+        // each hear one in seconds: all moved by whole powers at once, from far too much to next to nothing
+        // and back.
+        double powers = STEER * (r.left - MIDDLE) * Math.min(STALE * target, now - r.shareAt) / target;
         double most = waiting ? 1 : rush(r, part);
         // Only fulls take it under the part: a limit counted by spans shows little left at each span's end.
         double least = Math.min(r.share, part);
@@ -824,9 +827,10 @@
             double least = (rush ? 1 : LEAST_SHARE) / nodes;
             r.share = Math.max(least, Math.min(share(r, now), RUSH * part(r, now)) * BACK_OFF);
             r.shareAt = r.fellAt = now;
-            // What was saved up is spent, and the next turn comes by chance in up to two of them: all nodes
-            // meet a limit at once, and would come again in step.
-            r.tokens = rush ? r.tokens : Math.min(r.tokens, 0) - chance(now);
+            // What was saved up is spent but for a part by chance: all nodes meet a limit at once, and with a
+            // whole turn in hand would come again in step. Harm: the next span of a count finds some without
+            // a turn.
+            r.tokens = rush ? r.tokens : Math.min(r.tokens, chance(now));
         }
         if (rush) {
             return;
