--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -97,8 +97,6 @@
     private long endpointsSeen;
     private boolean doorOpen;
     private boolean sending = true;
-    /** Until when nothing is sent by the list in the config alone. */
-    private long listBy = Long.MIN_VALUE;
 
     /** A node on the machine's sockets; nothing is done before {@link #start}. */
     public DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module) {
@@ -239,10 +237,6 @@
                     "mails", owed.size(), "unconfirmed", untold);
         }
         if (!settings.listOnRequest()) {
-            // Guards drains told while no process ran: the config's list may be old, and what the agent has counts as
-            // told. It answers at once; where it is silent, the list as known has to do.
-            listBy = now + settings.rules().drainGrace();
-            later(this::turn, settings.rules().drainGrace());
             discovery.follow();
         }
         endTurn();
@@ -324,7 +318,7 @@
         withdrawAbandoned();
         calls.dropForbidden();
         directory.sweep(now);
-        if (sending && now >= listBy) {
+        if (sending) {
             answers.addAll(module.next(now));
         }
         for (Answer answer : List.copyOf(answers)) {
@@ -517,7 +511,6 @@
 
     @Override public void listed(ListLine line) {
         turn();
-        listBy = Long.MIN_VALUE;
         list(line, line.whole() ? Listing.Scope.WHOLE : Listing.Scope.CHANGES);
     }
 
