A started node sends nothing before its watch has spoken: drains told while it was down

At fault: DeliveryNode.recover, which ended its first turn, with sends, by the list in the config. Now module.next() waits after a start until a list was heard (by discovery or a subsystem), the first try of discovery has failed, or the drain grace is over. What made the try fail in ListsOnLoopbackTest: a node with no discovery waited out the whole grace. The test in DeliveryNodeTest fails without the change.

--- a/node/src/main/java/wrenreach/net/Discovery.java
+++ b/node/src/main/java/wrenreach/net/Discovery.java
@@ -139,6 +139,11 @@
         }
     }
 
+    /** Whether the last try has failed and nothing was heard since. */
+    public boolean silent() {
+        return silent;
+    }
+
     public void stop() {
         stopped = true;
     }
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -97,6 +97,8 @@
     private long endpointsSeen;
     private boolean doorOpen;
     private boolean sending = true;
+    /** Until when nothing is sent by the list in the config alone. */
+    private long listBy = Long.MIN_VALUE;
 
     /** A node on the machine's sockets; nothing is done before {@link #start}. */
     public DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module) {
@@ -237,6 +239,10 @@
                     "mails", owed.size(), "unconfirmed", untold);
         }
         if (!settings.listOnRequest()) {
+            // Guards drains told while no process ran: the config's list may be old, and what the agent has counts as
+            // told. It answers at once; where it is silent, the list as known has to do.
+            listBy = now + settings.rules().drainGrace();
+            later(this::turn, settings.rules().drainGrace());
             discovery.follow();
         }
         endTurn();
@@ -318,7 +324,7 @@
         withdrawAbandoned();
         calls.dropForbidden();
         directory.sweep(now);
-        if (sending) {
+        if (sending && (now >= listBy || discovery.silent())) {
             answers.addAll(module.next(now));
         }
         for (Answer answer : List.copyOf(answers)) {
@@ -511,6 +517,7 @@
 
     @Override public void listed(ListLine line) {
         turn();
+        listBy = Long.MIN_VALUE;
         list(line, line.whole() ? Listing.Scope.WHOLE : Listing.Scope.CHANGES);
     }
 
--- a/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -34,6 +34,7 @@
     private HttpServer outside;
     private volatile int answer = 200;
     private volatile int confirm = 204;
+    private volatile String list;
     private String effect = "token";
     private int descriptors = 512;
     private DeliveryNode node;
@@ -47,6 +48,12 @@
             if (!path.equals("/api/targets")) {
                 heard.add(path + " " + (id == null ? "" : id + " ") + body);
             }
+            if (path.equals("/api/targets") && list != null) {
+                exchange.sendResponseHeaders(200, 0);
+                exchange.getResponseBody().write(list.getBytes(StandardCharsets.UTF_8));
+                exchange.getResponseBody().flush();
+                return; // A watch stays open.
+            }
             int status = path.equals("/events") ? answer : path.equals("/v2/finals") ? confirm : 503;
             exchange.sendResponseHeaders(status, -1);
             exchange.close();
@@ -276,6 +283,28 @@
         owedNothing();
     }
 
+    /** What was owed went out by the list in the config, to endpoints that drained while no process ran. */
+    @Test void aRestartSendsNothingBeforeTheWatchHasSpoken() throws Exception {
+        HttpServer second = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        second.createContext("/", exchange -> {
+            exchange.getRequestBody().readAllBytes();
+            heard.add("second");
+            exchange.sendResponseHeaders(200, -1);
+            exchange.close();
+        });
+        second.start();
+        String entry = "{'name':'receiver-%d','address':'127.0.0.1:%d','zone':'home','type':'small','group':1,"
+                + "'status':'%s','weight':10,'since_ms':0}";
+        list = ("{'index':5,'snapshot':true,'endpoints':["
+                + String.format(entry, 1, outside.getAddress().getPort(), "DRAINING") + ","
+                + String.format(entry, 2, second.getAddress().getPort(), "SERVING") + "]}\n").replace('\'', '"');
+        owe("a1", false, null);
+        start();
+        assertThat(next()).isEqualTo("second");
+        owedNothing();
+        second.stop(0);
+    }
+
     /** Guards effects: a once-only mail whose call was out when the process ended may have run. */
     @Test void aOnceOnlyMailThatMayHaveRunEndsUndeliverable() throws Exception {
         effect = "side_effect";
