--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -121,7 +121,8 @@
         if (mail.endsBy - now < kind.targetDelay()) {
             mail.dueBy = mail.endsBy;
         }
-        mail.overShare = overShare(mail, now);
+        // What an earlier process took on was judged at its door and counted against its share there.
+        mail.overShare = !mail.owed && overShare(mail, now);
         if (mail.key != null && kind.inOrder()) {
             mail.key.mails.addLast(mail);
         }
@@ -130,6 +131,9 @@
             r.came.add(now);
             r.mails++;
         }
+        if (mail.owed) {
+            return take();
+        }
         long wait = expectedWait(mail.to, ahead(mail, now), now);
         if (now + wait + usualOf(mail.to) > mail.endsBy) {
             end(mail, wait, now);
@@ -291,7 +295,7 @@
             long wait = d.line.isEmpty() ? 0 : expectedWait(d, d.line.size(), now);
             for (Mail m : d.line) {
                 double weight = wait * (m.overShare ? 1 / overShareImportance : 1);
-                if (weight >= most && weight > target && m.connects.isEmpty()) {
+                if (weight >= most && weight > target && m.connects.isEmpty() && !m.owed) {
                     most = weight;
                     worst = m;
                 }
--- a/decisions/src/main/java/wrenreach/state/Directory.java
+++ b/decisions/src/main/java/wrenreach/state/Directory.java
@@ -33,6 +33,11 @@
         return endpoints.computeIfAbsent(id, i -> first.get());
     }
 
+    /** The id stands for another endpoint from now on. */
+    public void drop(I id) {
+        endpoints.remove(id);
+    }
+
     public OrderKey key(I id) {
         return keys.computeIfAbsent(id, i -> new OrderKey());
     }
--- a/decisions/src/main/java/wrenreach/state/Mail.java
+++ b/decisions/src/main/java/wrenreach/state/Mail.java
@@ -19,6 +19,8 @@
     public long sequence;
     public int out;
     public boolean over;
+    /** Taken on by an earlier process: it is owed a try, whatever comes beside it. */
+    public boolean owed;
 
     public Mail(long id, Destination to, OrderKey key, int queueClass, int tenant, long arrived, long endsBy) {
         this.id = id;
--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -29,6 +30,26 @@
 
     // ---- Breaker ----
 
+    /** Guards what an earlier process took on: it is neither judged at the door again nor turned away for room untried. */
+    @Test void whatAnEarlierProcessTookOnIsNotTurnedAwayUntried() {
+        Setup s = new Setup();
+        s.weight = 1;
+        s.held = 40;
+        s.quota = 1;
+        s.endpoint(1, 0);
+        List<Mail> owed = new ArrayList<>();
+        for (int i = 0; i < 39; i++) {
+            Mail m = new Mail(1000 + i, s.to, null, 0, 0, s.now, s.now + 10_000 * Setup.MS);
+            m.owed = true;
+            owed.add(m);
+            s.answers.addAll(s.choice().admit(m, s.now));
+        }
+        s.mail(null);
+        s.turn(5);
+        assertThat(s.all(Answer.Defer.class)).allMatch(defer -> !owed.contains(defer.mail()));
+        assertThat(owed).allMatch(m -> !m.over && !m.overShare);
+    }
+
     @Test void aRunOfFailuresOpensAndParks() {
         s.endpoint(1, 0);
         s.fail(12, new Outcome.Unreached());
--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -25,6 +25,7 @@
 import wrenreach.held.Entry;
 import wrenreach.held.HeldMail;
 import wrenreach.held.Journal;
+import wrenreach.held.KeptFile;
 import wrenreach.held.Ledger;
 import wrenreach.held.PastConnect;
 import wrenreach.log.LogEvent;
@@ -65,6 +66,7 @@
     private Runnable failed = () -> { };
     private ExecutorService forcing;
     private boolean closed;
+    private KeptFile list;
 
     private StoreLedger(Store store, Ballast ballast, boolean sync, long remember, long rememberBytes, LongSupplier wallMillis) throws IOException {
         this.store = store;
@@ -97,9 +99,12 @@
         Files.deleteIfExists(state.resolve(JOURNAL + ".next"));
         Files.createDirectories(folder);
         long kept = (long) (limit * BALLAST_PART);
-        Store store = Store.open(new FolderDisk(folder), limit - kept, sync, salt);
+        Store store = Store.open(new FolderDisk(folder), limit - kept - KeptFile.room(limit), sync, salt);
         try {
-            return new StoreLedger(store, new Ballast(folder.resolve("ballast"), kept), sync, remember, rememberBytes, wallMillis);
+            StoreLedger ledger = new StoreLedger(store, new Ballast(folder.resolve("ballast"), kept), sync, remember, rememberBytes,
+                    wallMillis);
+            ledger.list = new KeptFile(state, limit);
+            return ledger;
         } catch (IOException | RuntimeException e) {
             store.close();
             throw e;
@@ -407,6 +412,14 @@
         }
     }
 
+    @Override public byte[] keptList() throws IOException {
+        return list.read();
+    }
+
+    @Override public void keepList(byte[] text) {
+        list.keep(text);
+    }
+
     @Override public long size() {
         return store.stats().appended() + store.stats().copied();
     }
--- a/node/src/main/java/wrenreach/held/HeldMail.java
+++ b/node/src/main/java/wrenreach/held/HeldMail.java
@@ -16,6 +16,8 @@
     public Mail mail;
     /** Whether it is in the journal, and so owed. */
     public boolean owed;
+    /** Found at the start as taken on and never tried, and still so. */
+    public boolean untried;
     /** Set once it has ended undelivered; it stays owed until the platform has heard. */
     public Ending ending;
     /** What a compacted journal would spend on it. */
--- a/node/src/main/java/wrenreach/held/HeldMails.java
+++ b/node/src/main/java/wrenreach/held/HeldMails.java
@@ -80,6 +80,7 @@
     /** The same for a mail of an earlier process, with its connects as the journal knows them. */
     public Mail resume(HeldMail owed, long now, long wallAhead) {
         Mail mail = hold(owed, now, wallAhead);
+        mail.owed = true;
         for (PastConnect past : owed.connects) {
             Endpoint known = directory.endpoint(past.endpoint());
             Endpoint at = known != null ? known : new Endpoint(-1, mail.to, settings.kinds().size(), past.zone());
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -34,6 +34,7 @@
 
     private final Path file;
     private final Path next;
+    private final KeptFile list;
     private final long fileLimit;
     private final long owedLimit;
     private final Map<String, HeldMail> owed;
@@ -46,6 +47,7 @@
     private Journal(Path folder, long limit, Map<String, HeldMail> owed, long size) throws IOException {
         file = folder.resolve(NAME);
         next = folder.resolve(NEXT);
+        list = new KeptFile(folder, limit);
         fileLimit = (long) (limit * FILE_PART);
         owedLimit = (long) (limit * OWED_PART);
         this.owed = owed;
@@ -120,6 +122,14 @@
         }
     }
 
+    @Override public byte[] keptList() throws IOException {
+        return list.read();
+    }
+
+    @Override public void keepList(byte[] text) {
+        list.keep(text);
+    }
+
     @Override public long size() {
         return size;
     }
--- a/node/src/main/java/wrenreach/held/Ledger.java
+++ b/node/src/main/java/wrenreach/held/Ledger.java
@@ -42,6 +42,14 @@
      */
     boolean write(Runnable then) throws IOException;
 
+    /** The list of endpoints that an earlier process kept, or null. */
+    default byte[] keptList() throws IOException {
+        return null;
+    }
+
+    /** Keeps the list of endpoints for the next process, before anything is done by it. */
+    default void keepList(byte[] text) { }
+
     /** Bytes that its files hold. */
     long size();
 
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -198,13 +198,14 @@
 
     /**
      * Before the module decides: ends staged calls that must not be written any more. Guards drains and told
-     * waits that came in, and repeats whose window ended, while the connection was being made.
+     * waits that came in, repeats whose window ended, and addresses that passed to another endpoint, while the connection
+     * was being made.
      */
     public void dropForbidden() {
         long now = host.turn();
         for (Outgoing call : List.copyOf(staged)) {
             Endpoint endpoint = call.connect.endpoint;
-            if (!endpoint.ready || call.connect.goesBy < now || toldUntil.getOrDefault(endpoint.route, Long.MIN_VALUE) > now) {
+            if (!endpoint.ready || call.link.leftBehind() || call.connect.goesBy < now || toldUntil.getOrDefault(endpoint.route, Long.MIN_VALUE) > now) {
                 Link link = call.link;
                 end(call, new Outcome.NotSent(false));
                 link.rest();
@@ -240,7 +241,7 @@
 
     private void write(Outgoing call, long budgetMs) {
         Link link = call.link;
-        String host = Addresses.text(link.pool.address);
+        String host = Addresses.text(link.address);
         link.expect();
         link.channel.writeAndFlush(CallCodec.request(call.held.submission, host, budgetMs)).addListener(done -> {
             link.written = done.isSuccess();
@@ -338,6 +339,7 @@
     /** One connection. */
     private final class Link extends SimpleChannelInboundHandler<Object> {
         final Pool pool;
+        final InetSocketAddress address;
         final AnswerStart start = new AnswerStart(this::begun);
         Channel channel;
         Outgoing call;
@@ -349,6 +351,12 @@
 
         Link(Pool pool) {
             this.pool = pool;
+            address = pool.address;
+        }
+
+        /** Whether its endpoint is listed elsewhere by now: another one may listen here. */
+        boolean leftBehind() {
+            return !address.equals(pool.address);
         }
 
         /** Each answer is read by a decoder of its own: what one leaves unread can't get into the next. */
@@ -399,7 +407,7 @@
         /** Nothing is out on the connection any more. */
         void rest() {
             call = null;
-            if (!keepAlive || !channel.isActive() || idleLimit == 0 || pool.gone) {
+            if (!keepAlive || !channel.isActive() || idleLimit == 0 || pool.gone || leftBehind()) {
                 close();
                 return;
             }
--- a/node/src/main/java/wrenreach/net/Discovery.java
+++ b/node/src/main/java/wrenreach/net/Discovery.java
@@ -11,7 +11,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -24,11 +24,9 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -41,12 +39,23 @@
 public final class Discovery {
     private static final System.Logger LOG = System.getLogger(Discovery.class.getName());
     private static final int LINE_LIMIT = 4 << 20;
-    /** A watch says something every 2 s: two lines missed, and it is made anew. */
-    private static final long SILENCE_MS = 4500, CONNECT_MS = 1000;
-    /** Between a failure and the next try. What waits to be told counts as told within seconds, so they stay short. */
-    private static final long FIRST_PAUSE_MS = 250, LONGEST_PAUSE_MS = 2000;
-    /** The whole list is answered at once, or later where many ask for it. */
-    private static final long WHOLE_MS = 1000;
+    private static final long CONNECT_MS = 1000;
+    /** How long one line on lists that can't be read stands for those that follow, in microseconds. */
+    private static final long QUIET = 10_000_000;
+    /** Answers begin, and the whole list is there, at once, or later where many ask for it. */
+    private static final long ANSWER_MS = 1000, LONGEST_ANSWER_MS = 2000;
+
+    /**
+     * Milliseconds: when a watch that says nothing is taken for dead; between a failure and the next try, at first and at
+     * most. What waits to be told counts as told within seconds, so they stay short.
+     */
+    public record Patience(long silence, long firstPause, long longestPause) {
+        /**
+         * A watch says something every 2 s. What a silent one misses counts as told 6 s after it fell silent: this leaves
+         * time for a second one that is silent from the start, and a third.
+         */
+        public static final Patience OF_NODES = new Patience(3500, 250, 2000);
+    }
 
     /** What discovery reports. */
     public interface Host {
@@ -61,10 +70,11 @@
     private final boolean again;
     private final Pauses pauses;
     private final Bootstrap bootstrap;
+    private final Patience patience;
     private InetSocketAddress address;
     private long index;
-    /** Whether the version known is one of this address. */
-    private boolean versionHolds = true;
+    /** Whether the version known is one of this address, and no older one has been heard since. */
+    private boolean versionHolds;
     private boolean following;
     /** Connections in use; those left behind by a move are none of them. */
     private final Set<Channel> open = new LinkedHashSet<>();
@@ -72,16 +82,24 @@
     private Future<?> next;
     private boolean silent;
     private boolean stopped;
+    private boolean refuses;
+    private boolean told;
+    private long quietUntil;
 
-    /** again: a broken watch is made anew after a pause, not only when asked for; seed: of the pauses. */
-    public Discovery(EventLoop loop, ChannelFactory<? extends Channel> connecting, Host host, InetSocketAddress address, long index, boolean again,
-                     long seed) {
+    /**
+     * index: the version known, and whether it is one of this address; again: a broken watch is made anew after a pause, not
+     * only when asked for; seed: of the pauses.
+     */
+    public Discovery(EventLoop loop, ChannelFactory<? extends Channel> connecting, Host host, InetSocketAddress address, long index,
+                     boolean versionHolds, boolean again, long seed, Patience patience) {
+        this.versionHolds = versionHolds;
+        this.patience = patience;
         this.loop = loop;
         this.host = host;
         this.address = address;
         this.index = index;
         this.again = again;
-        pauses = new Pauses(FIRST_PAUSE_MS, LONGEST_PAUSE_MS, seed);
+        pauses = new Pauses(patience.firstPause, patience.longestPause, seed);
         bootstrap = new Bootstrap().group(loop).channelFactory(connecting)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_MS);
@@ -100,8 +118,7 @@
         }
         ask("/api/targets?stream=1&index=" + index, true, new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
-                        new HttpClientCodec(), new Contents(), new LineBasedFrameDecoder(LINE_LIMIT), new Lines());
+                channel.pipeline().addLast(new HttpClientCodec(), new Contents(), new ListFrames(LINE_LIMIT), new Lines());
             }
         });
     }
@@ -114,8 +131,7 @@
     private void whole(boolean thenFollow) {
         ask("/api/targets", thenFollow, new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new ReadTimeoutHandler(pauses.stretched(WHOLE_MS), TimeUnit.MILLISECONDS),
-                        new HttpClientCodec(), new HttpObjectAggregator(LINE_LIMIT), new Whole(thenFollow));
+                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LINE_LIMIT), new Whole(thenFollow));
             }
         });
     }
@@ -139,9 +155,14 @@
         }
     }
 
-    /** Whether the last try has failed and nothing was heard since. */
-    public boolean silent() {
-        return silent;
+    /** Whether it has answered a watch that it has no list to tell: that is no silence. */
+    public boolean refuses() {
+        return refuses;
+    }
+
+    /** Where the list comes from. */
+    public InetSocketAddress address() {
+        return address;
     }
 
     public void stop() {
@@ -183,34 +204,53 @@
         }
     }
 
-    private void read(Channel from, ByteBuf text) {
-        byte[] line = ByteBufUtil.getBytes(text);
-        if (!open.contains(from) || new String(line, StandardCharsets.ISO_8859_1).isBlank()) {
-            return;
-        }
+    /** Reads one list; false: it can't be used, and its connection serves no further use. */
+    private boolean read(ByteBuf text, boolean watch) {
         try {
-            ListLine list = ListReader.read(line);
+            ListLine list = ListReader.read(ByteBufUtil.getBytes(text));
+            if (watch && list.index() < index) {
+                // Guards against news that come late, and drains undone by them: the whole list says what holds.
+                versionHolds = false;
+                complain("version " + list.index() + " after " + index);
+                return false;
+            }
             index = list.index();
             versionHolds = true;
-            pauses.over();
             if (silent) {
                 silent = false;
                 LogEvent.tell(LOG, Level.INFO, "discovery.heard", "discovery: heard again, list {index}", "index", index);
             }
             host.discovered(list);
+            return true;
         } catch (IOException e) {
-            LogEvent.tell(LOG, Level.WARNING, "discovery.line", "discovery: a line can't be read: {why}", "why", e.getMessage());
+            complain(e.getMessage());
+            return false;
+        }
+    }
+
+    /** Guards the log against lists that can't be read time and again: one line stands for a while. */
+    private void complain(String why) {
+        long now = loop.ticker().nanoTime() / 1000;
+        if (!told || now >= quietUntil) {
+            told = true;
+            quietUntil = now + QUIET;
+            LogEvent.tell(LOG, Level.WARNING, "discovery.line", "discovery: a list can't be used: {why}", "why",
+                    String.valueOf(why).lines().findFirst().orElse(""));
         }
     }
 
     /** The bytes of a watch's body, as they come. */
-    private static final class Contents extends MessageToMessageDecoder<HttpObject> {
+    private final class Contents extends MessageToMessageDecoder<HttpObject> {
         @Override protected void decode(ChannelHandlerContext ctx, HttpObject message, List<Object> out) {
-            if (message.decoderResult().isFailure()
-                    || message instanceof HttpResponse response && response.status().code() != 200) {
+            boolean refused = message instanceof HttpResponse response && response.status().code() != 200;
+            if (message.decoderResult().isFailure() || refused) {
+                refuses |= refused && message.decoderResult().isSuccess();
                 ctx.close();
                 return;
             }
+            if (message instanceof HttpResponse) {
+                ctx.fireUserEventTriggered(message);
+            }
             if (message instanceof HttpContent content && content.content().isReadable()) {
                 out.add(content.content().retain());
             }
@@ -222,29 +262,68 @@
 
     private abstract class Answers<T> extends SimpleChannelInboundHandler<T> {
         private final boolean watch;
+        private Due overdue;
 
         Answers(boolean watch) {
             this.watch = watch;
         }
 
+        /** Closes the connection unless this is called again within so long. */
+        final void within(ChannelHandlerContext ctx, long ms) {
+            if (overdue != null) {
+                overdue.cancel();
+            }
+            overdue = Due.after(loop, 1000 * ms, ctx::close);
+        }
+
+        @Override public void channelActive(ChannelHandlerContext ctx) {
+            within(ctx, pauses.stretched(ANSWER_MS, LONGEST_ANSWER_MS));
+        }
+
         @Override public void channelInactive(ChannelHandlerContext ctx) {
+            if (overdue != null) {
+                overdue.cancel();
+            }
             if (open.remove(ctx.channel())) {
                 broken("silent or closed", watch);
             }
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof DecoderException && open.contains(ctx.channel())) {
+                complain(cause.getMessage());
+            }
             ctx.close();
         }
     }
 
+    /** Only whole objects and blank lines are signs of life: guards against a watch that dies within one. */
     private final class Lines extends Answers<ByteBuf> {
+        /** What it said is not known: a new watch tells all since the last version that is, and nothing after counts. */
+        private boolean spoilt;
+
         Lines() {
             super(true);
         }
 
+        @Override public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof HttpResponse) {
+                within(ctx, patience.silence);
+            }
+        }
+
         @Override protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-            read(ctx.channel(), line);
+            if (spoilt || !open.contains(ctx.channel())) {
+                return;
+            }
+            within(ctx, patience.silence);
+            if (!line.isReadable()) {
+                // Not at each list: one that is followed by a spoilt one is no reason to ask faster.
+                pauses.over();
+            } else if (!read(line, true)) {
+                spoilt = true;
+                ctx.close();
+            }
         }
     }
 
@@ -257,11 +336,9 @@
         }
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.status().code() == 200 && response.decoderResult().isSuccess()) {
-                read(ctx.channel(), response.content());
-                if (open.remove(ctx.channel()) && thenFollow) {
-                    follow();
-                }
+            if (open.contains(ctx.channel()) && response.status().code() == 200 && response.decoderResult().isSuccess()
+                    && read(response.content(), false) && open.remove(ctx.channel()) && thenFollow) {
+                follow();
             }
             ctx.close();
         }
--- a/node/src/main/java/wrenreach/net/Door.java
+++ b/node/src/main/java/wrenreach/net/Door.java
@@ -13,6 +13,9 @@
 import io.netty.channel.ServerChannel;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.DuplexChannelConfig;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.redis.FixedRedisMessagePool;
 import io.netty.handler.codec.redis.RedisArrayAggregator;
@@ -35,6 +38,9 @@
     public static final int CLIENT_BYTES = BODY_LIMIT + READ_LIMIT;
     /** A request is whole so soon after its connection or its first byte; a client may stand idle for so long. */
     private static final long REQUEST_MS = 2000, IDLE_MS = 5000, LOOK_MS = 250;
+    /** For how long a client's connection is read on after its last answer, and one in how many may be at once. */
+    private static final long LINGER_MS = 250;
+    private static final int LINGER_PART = 16;
     /** Requests that one client may have open: the protocol's clients have one. */
     private static final int OPEN_LIMIT = 64;
 
@@ -58,9 +64,9 @@
             this.last = last;
         }
 
-        /** Whether the client has closed its connection. */
+        /** Whether the client has closed its connection, or at least its sending: the two look alike. */
         @Override public boolean abandoned() {
-            return !client.ctx.channel().isActive();
+            return client.left || !client.ctx.channel().isActive();
         }
 
         @Override public void answer(Reply answer) {
@@ -72,6 +78,7 @@
     private final ChannelFactory<? extends ServerChannel> listening;
     private final Host host;
     private final int limit;
+    private final int lingerLimit;
     /** Those that never asked for anything, in the order they came. */
     private final Set<Client> silent = new LinkedHashSet<>();
     /** The others, least lately used first. */
@@ -79,13 +86,16 @@
     private final List<Client> asking = new ArrayList<>();
     private Channel listener;
     private boolean closing;
+    /** Connections that have had their last answer and are read on for a while. */
+    private int lingering;
 
     /** limit: client connections kept at once. */
     public Door(EventLoopGroup loop, ChannelFactory<? extends ServerChannel> listening, Host host, int limit) {
         this.loop = loop;
         this.listening = listening;
         this.host = host;
-        this.limit = Math.max(1, limit);
+        lingerLimit = Math.max(1, limit / LINGER_PART);
+        this.limit = Math.max(1, limit - limit / LINGER_PART);
     }
 
     public ChannelFuture open(InetSocketAddress address) {
@@ -104,6 +114,10 @@
                                 .respectMaybeMoreData(false).maxMessagesPerRead(READS))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
+                        if (channel.config() instanceof DuplexChannelConfig socket) {
+                            // A client that ends its sending after its requests still hears the answers.
+                            socket.setAllowHalfClosure(true);
+                        }
                         Client client = new Client();
                         channel.pipeline().addLast(client.guard).addLast(codecs(BODY_LIMIT)).addLast(client);
                     }
@@ -125,14 +139,19 @@
         return loop.next().ticker().nanoTime();
     }
 
-    /** Stops listening and closes each client once it has its answers. */
+    /**
+     * Stops listening and closes each client once it has its answers. Both after one more look at the sockets: guards
+     * connections and requests that wait unread while the node is short of its core.
+     */
     public void close() {
         closing = true;
-        if (listener != null) {
-            listener.close();
-        }
-        new ArrayList<>(silent).forEach(Client::closeIfIdle);
-        new ArrayList<>(clients).forEach(Client::closeIfIdle);
+        Due.after(loop.next(), 0, () -> {
+            if (listener != null) {
+                listener.close();
+            }
+            new ArrayList<>(silent).forEach(Client::retire);
+            new ArrayList<>(clients).forEach(Client::retire);
+        });
     }
 
     /** Guards descriptors against clients that say nothing, half a request, or stay when they have what they want. */
@@ -183,11 +202,27 @@
         private long since = nanos();
         private boolean closed;
         private boolean retiring;
+        /** It sends nothing any more. */
+        private boolean left;
+        private boolean lingers;
 
         @Override public void channelActive(ChannelHandlerContext context) {
             ctx = context;
             silent.add(this);
             makeRoom();
+            if (closing) {
+                // It has not been read from yet.
+                Due.after(loop.next(), 0, this::retire);
+            }
+        }
+
+        @Override public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                left = true;
+                if (closed || open.isEmpty()) {
+                    context.close();
+                }
+            }
         }
 
         @Override protected void channelRead0(ChannelHandlerContext context, Request request) {
@@ -214,7 +249,7 @@
         }
 
         private void flushReplies() {
-            boolean close = closing;
+            boolean close = closing || left;
             for (Asked asked : open) {
                 if (asked.reply != null && !closed) {
                     ctx.write(asked.reply);
@@ -227,7 +262,7 @@
                 ctx.flush();
             }
             if (close) {
-                closeIfIdle();
+                closeIfIdle(true);
             }
         }
 
@@ -236,7 +271,7 @@
             if (guard.midway() && open.isEmpty()) {
                 ctx.writeAndFlush(new Reply.Error("request took too long", true));
                 guard.whole();
-                closeIfIdle();
+                closeIfIdle(true);
             } else {
                 retire();
             }
@@ -254,25 +289,43 @@
                 if (retiring && !closed && guard.midway()) {
                     (asked ? clients : silent).add(this);
                 } else if (retiring) {
-                    closeIfIdle();
+                    closeIfIdle(closing);
                 }
                 retiring = false;
             }, 0, TimeUnit.NANOSECONDS);
         }
 
-        private void closeIfIdle() {
+        /** answered: it may not have read its last answer yet. */
+        private void closeIfIdle(boolean answered) {
             boolean reads = guard.midway() && clients.contains(this);
             if (open.isEmpty() && !closed && !reads) {
                 closed = true;
                 guard.stop();
                 silent.remove(this);
                 clients.remove(this);
-                ctx.close();
+                if (answered && !left && lingering < lingerLimit && ctx.channel() instanceof DuplexChannel duplex) {
+                    linger(duplex);
+                } else {
+                    ctx.close();
+                }
             }
         }
 
+        /**
+         * Ends the sending and reads on until the client closes too, for a bounded time. Guards answers that it has not read
+         * yet: a close with bytes unread resets the connection, which destroys them.
+         */
+        private void linger(DuplexChannel channel) {
+            lingers = true;
+            lingering++;
+            channel.shutdownOutput();
+            ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        }
+
         @Override public void channelInactive(ChannelHandlerContext context) {
             closed = true;
+            lingering -= lingers ? 1 : 0;
+            lingers = false;
             silent.remove(this);
             clients.remove(this);
             open.clear();
--- a/node/src/main/java/wrenreach/net/ListReader.java
+++ b/node/src/main/java/wrenreach/net/ListReader.java
@@ -10,6 +10,7 @@
 /** Reads discovery's form of the list. */
 public final class ListReader {
     private static final JsonFactory JSON = new JsonFactory();
+    private static final List<String> STATUSES = List.of("SERVING", "DRAINING", "DELETED");
 
     private ListReader() { }
 
@@ -73,6 +74,10 @@
         if (name.isEmpty() || group < 0) {
             throw new IOException("an endpoint without a name or group");
         }
+        if (!STATUSES.contains(status)) {
+            // Guards endpoints against a spoilt word: taken for an end, it would drop them.
+            throw new IOException("an endpoint of an unknown status");
+        }
         return new ListLine.Entry(name, address, zone, type, group, status, weight);
     }
 }
--- a/node/src/main/java/wrenreach/net/Notices.java
+++ b/node/src/main/java/wrenreach/net/Notices.java
@@ -38,7 +38,11 @@
 public final class Notices {
     private static final System.Logger LOG = System.getLogger(Notices.class.getName());
     private static final JsonFactory JSON = new JsonFactory();
-    private static final long ANSWER_MS = 1000, FIRST_PAUSE_MS = 100, LONGEST_PAUSE_MS = 400;
+    /**
+     * The platform answers at once, and an ending has 350 ms after its mail's time. So the first patience leaves room for
+     * a second post; it grows to the longest, or a slow platform would never be heard.
+     */
+    private static final long ANSWER_MS = 150, LONGEST_ANSWER_MS = 1000, FIRST_PAUSE_MS = 100, LONGEST_PAUSE_MS = 400;
     private static final int ANSWER_LIMIT = 64 * 1024;
     /** Notices in one post; each is far shorter than its part of a body's limit. */
     private static final int BATCH = 200;
@@ -52,17 +56,24 @@
     private List<HeldMail> posted = List.of();
     private Channel channel;
     private boolean opening;
+    /** The connection has brought an answer: if it breaks, that says nothing of the platform. */
+    private boolean kept;
     private boolean failing;
     private Due patience;
 
     /** heard: told of each mail whose notice was answered; seed: of the pauses after a failure. */
     public Notices(EventLoop loop, ChannelFactory<? extends Channel> connecting, InetSocketAddress address, Consumer<HeldMail> heard,
                    long seed) {
+        this(loop, connecting, address, heard, new Pauses(FIRST_PAUSE_MS, LONGEST_PAUSE_MS, seed));
+    }
+
+    Notices(EventLoop loop, ChannelFactory<? extends Channel> connecting, InetSocketAddress address, Consumer<HeldMail> heard,
+            Pauses pauses) {
         this.loop = loop;
         this.connecting = connecting;
         this.address = address;
         this.heard = heard;
-        pauses = new Pauses(FIRST_PAUSE_MS, LONGEST_PAUSE_MS, seed);
+        this.pauses = pauses;
     }
 
     public void add(HeldMail held) {
@@ -89,7 +100,7 @@
         post.headers().set(HttpHeaderNames.HOST, Addresses.text(address))
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson")
                 .set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(post.content().readableBytes()));
-        patience = Due.after(loop, ANSWER_MS * 1000, () -> broken("no answer"));
+        patience = Due.after(loop, 1000 * pauses.stretched(ANSWER_MS, LONGEST_ANSWER_MS), () -> broken("no answer"));
         channel.writeAndFlush(post);
     }
 
@@ -140,7 +151,7 @@
         InetSocketAddress to = address;
         new Bootstrap().group(loop).channelFactory(connecting)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) LONGEST_ANSWER_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel fresh) {
                         fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_LIMIT),
@@ -153,6 +164,7 @@
                         flush();
                     } else if (done.isSuccess()) {
                         channel = ((ChannelFuture) done).channel();
+                        kept = false;
                         flush();
                     } else {
                         broken("no connection");
@@ -178,6 +190,7 @@
         }
         patience.cancel();
         pauses.over();
+        kept = true;
         if (failing) {
             failing = false;
             LogEvent.tell(LOG, Level.INFO, "notices.answered", "notices: answered again");
@@ -203,7 +216,11 @@
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
                 channel = null;
-                if (!posted.isEmpty()) {
+                if (!posted.isEmpty() && kept) {
+                    // Guards endings against a connection that was closed while it stood idle: a new one is made at once.
+                    leave();
+                    flush();
+                } else if (!posted.isEmpty()) {
                     broken("connection closed");
                 }
             }
--- a/node/src/main/java/wrenreach/net/Pauses.java
+++ b/node/src/main/java/wrenreach/net/Pauses.java
@@ -22,14 +22,14 @@
 
     /** The pause after one more failure: between half of the doubled one and all of it. */
     long next() {
-        long whole = stretched(first);
+        long whole = stretched(first, longest);
         failed++;
         return whole / 2 + chance.nextLong(whole - whole / 2 + 1);
     }
 
-    /** A patience that grows as the pauses do, up to the longest, so that a slow answer is not thrown away each time. */
-    long stretched(long patience) {
-        return Math.min(longest, patience << Math.min(failed, DOUBLINGS));
+    /** A patience that grows as the pauses do, up to this most, so that a slow answer is not thrown away each time. */
+    long stretched(long patience, long most) {
+        return Math.min(most, patience << Math.min(failed, DOUBLINGS));
     }
 
     /** It worked: the next pause is the first again. */
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -35,6 +35,7 @@
 import wrenreach.net.Discovery;
 import wrenreach.net.Door;
 import wrenreach.net.Due;
+import wrenreach.net.KnownList;
 import wrenreach.net.ListLine;
 import wrenreach.net.Notices;
 import wrenreach.net.Reply;
@@ -61,6 +62,8 @@
     private static final long PATIENCE = 400_000;
     /** A node that was behind is taken to be so for this many times as long. */
     private static final int RECOVERS = 8;
+    /** Zones that the settings don't name and that are told apart: guards memory against lists that always bring new ones. */
+    private static final int OTHER_ZONES = 64;
     /** How long one line on refusals for disk stands for those that follow. */
     private static final long QUIET = 10_000_000;
 
@@ -75,6 +78,9 @@
     private final Calls calls;
     private final Notices notices;
     private final Discovery discovery;
+    /** What discovery said, in this life or the one before; kept for the next where that is due. */
+    private final KnownList known;
+    private boolean keepsList;
     private final Directory<String> directory = new Directory<>();
     /** As what each endpoint was listed last. */
     private final Map<Endpoint, ListLine.Entry> listed = new IdentityHashMap<>();
@@ -97,9 +103,14 @@
     private long quietUntil;
     private long endpointsSeen;
     private boolean doorOpen;
+    private boolean stopsAfterTurn;
+    /** Of the mails found at the start that were never tried: how many are left, were called, were given up. */
+    private int untried, called, givenUp;
     private boolean sending = true;
     /** Until when nothing is sent by the list in the config alone. */
     private long listBy = Long.MIN_VALUE;
+    /** Zones that the settings don't name, in the order seen. */
+    private final List<String> otherZones = new ArrayList<>();
 
     /** A node on the machine's sockets; nothing is done before {@link #start}. */
     public DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module) {
@@ -126,8 +137,27 @@
                 settings.connectionTimeout(), idle);
         notices = new Notices(loop, sockets.connecting(), config.discovery(), this::heard,
                 settings.seed());
-        discovery = new Discovery(loop, sockets.connecting(), this, config.discovery(), config.known().index(),
-                !settings.listOnRequest(), ~settings.seed());
+        known = known(config, journal);
+        discovery = new Discovery(loop, sockets.connecting(), this, config.discovery(), known.whole().index(),
+                known.from().equals(Addresses.text(config.discovery())), !settings.listOnRequest(), ~settings.seed(),
+                Discovery.Patience.OF_NODES);
+    }
+
+    /**
+     * The newer of what an earlier process was told and of what the config has. Guards drains that it was told of: they hold
+     * for this one too, also while discovery says nothing. What can't be read is as if it were not there.
+     */
+    private static KnownList known(Config config, Ledger journal) {
+        KnownList told = new KnownList(config.known(), Addresses.text(config.discovery()));
+        try {
+            byte[] text = journal.keptList();
+            KnownList kept = text == null ? told : KnownList.read(text);
+            return kept.whole().index() >= told.whole().index() ? kept : told;
+        } catch (IOException e) {
+            LogEvent.tell(LOG, Level.WARNING, "list.kept", "the list kept in the state folder can't be used: {why}",
+                    "why", String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+            return told;
+        }
     }
 
     public void start() {
@@ -214,7 +244,7 @@
     private void recover() {
         move(Phase.RECOVERING);
         turn();
-        list(subsystems.discovered(config.known(), now), Listing.Scope.CACHED);
+        list(subsystems.discovered(known.whole(), now), Listing.Scope.CACHED);
         if (journal.resumed()) {
             held.resumes(now);
         }
@@ -222,6 +252,10 @@
         int untold = 0;
         for (HeldMail mail : owed) {
             boolean known = config.queueClasses().contains(mail.submission.queueClass());
+            if (mail.ending == null && mail.connects.isEmpty()) {
+                mail.untried = true;
+                untried++;
+            }
             if (mail.ending == null && known) {
                 answers.addAll(module.admit(held.resume(mail, now, wallAhead), now));
                 continue;
@@ -231,6 +265,7 @@
                 LogEvent.tell(LOG, Level.WARNING, "recovery.class", "an owed mail is of the unknown queue class {class}",
                         "class", mail.submission.queueClass());
                 journal.ended(mail, new Ending(false, 0));
+                triedAtLast(mail, false);
             }
             notices.add(mail);
             untold++;
@@ -240,8 +275,9 @@
                     "mails", owed.size(), "unconfirmed", untold);
         }
         if (!settings.listOnRequest()) {
-            // Guards drains told while no process ran: the config's list may be old, and what the agent has counts as
-            // told. It answers at once; where it is silent, the list as known has to do.
+            // Guards drains told while no process ran: the list as known may be old, and what the agent has counts as
+            // told. It answers at once; where it is silent, the list as known has to do. A try that
+            // fails is no such silence, as the next may be answered; one that is refused has no list to wait for.
             listBy = now + settings.rules().drainGrace();
             later(this::turn, settings.rules().drainGrace());
             discovery.follow();
@@ -291,6 +327,10 @@
         boolean lasts;
         try {
             decide();
+            if (keepsList) {
+                keepsList = false;
+                journal.keepList(known.text());
+            }
             writing = true;
             lasts = journal.write(this::written);
         } catch (IOException | RuntimeException e) {
@@ -315,7 +355,9 @@
         door.flush();
         calls.flush(now);
         notices.flush();
-        if (waiting) {
+        if (stopsAfterTurn) {
+            finish(0);
+        } else if (waiting) {
             waiting = false;
             turn();
         }
@@ -325,7 +367,7 @@
         withdrawAbandoned();
         calls.dropForbidden();
         directory.sweep(now);
-        if (sending && (now >= listBy || discovery.silent())) {
+        if (sending && (now >= listBy || discovery.refuses())) {
             answers.addAll(module.next(now));
         }
         for (Answer answer : List.copyOf(answers)) {
@@ -378,6 +420,7 @@
             forget(mail);
         } else {
             journal.ended(mail, ending);
+            triedAtLast(mail, false);
             notices.add(mail);
             ended(mail, ending.deferred() ? NodeEvent.End.DEFERRED : NodeEvent.End.BOUNCED, ending.retryAfterMs());
         }
@@ -389,6 +432,20 @@
         }
     }
 
+    /** Counts what became of a mail that an earlier process took on and never tried. */
+    private void triedAtLast(HeldMail mail, boolean byCall) {
+        if (mail.untried) {
+            mail.untried = false;
+            called += byCall ? 1 : 0;
+            givenUp += byCall ? 0 : 1;
+            if (--untried == 0) {
+                LogEvent.tell(LOG, givenUp > called ? Level.WARNING : Level.INFO, "recovery.tried",
+                        "of the mails found untried {called} were called, {given_up} given up with no call",
+                        "called", called, "given_up", givenUp);
+            }
+        }
+    }
+
     private void forget(HeldMail mail) {
         journal.over(mail);
         held.forget(mail);
@@ -414,6 +471,10 @@
             asked.answer(new Reply.Error(wrong, false));
             return;
         }
+        if (held.holds(s.id()) && !held.owes(s.id())) {
+            // Guards a client that left and comes again in the same turn: its first request is not another's.
+            withdrawAbandoned();
+        }
         if (held.holds(s.id())) {
             // Guards a request sent once more on a new connection: it is owed already. One that is still open is
             // another client's, who gets the answer.
@@ -447,6 +508,8 @@
         fresh.entrySet().removeIf(entry -> {
             boolean abandoned = entry.getValue().abandoned();
             if (abandoned) {
+                // Only its sending may have ended: then it hears that the mail was not taken on.
+                entry.getValue().answer(new Reply.Busy(0));
                 answers.addAll(module.withdrawn(entry.getKey().mail, now));
                 forget(entry.getKey());
             }
@@ -458,7 +521,8 @@
 
     @Override public boolean heldBack(HeldMail mail) {
         for (HeldMail earlier : notices.untold()) {
-            if (mail.mail.key != null && earlier.mail.key == mail.mail.key
+            // By its text: the directory may have forgotten the key, whose earlier mail is over, and made it anew.
+            if (mail.mail.key != null && earlier.submission.key().equals(mail.submission.key())
                     && earlier.mail.sequence < mail.mail.sequence) {
                 return true;
             }
@@ -468,6 +532,7 @@
 
     @Override public void goesOut(HeldMail mail, Connect connect) {
         journal.connecting(mail, past(connect, false));
+        triedAtLast(mail, true);
         if (subsystems.hears()) {
             subsystems.happened(new NodeEvent.ConnectBegun(mail.submission.id(), connect.number,
                     name(connect.endpoint), now));
@@ -480,8 +545,8 @@
     }
 
     private PastConnect past(Connect c, boolean neverRan) {
-        return new PastConnect(c.number, name(c.endpoint), c.endpoint.zone, c.sentAt + wallAhead,
-                neverRan);
+        // A zone that the settings don't name has another number in another process: then it is like no other.
+        return new PastConnect(c.number, name(c.endpoint), Math.max(-1, c.endpoint.zone), c.sentAt + wallAhead, neverRan);
     }
 
     @Override public void ended(HeldMail mail, Connect connect, Outcome outcome, double[] report, boolean over) {
@@ -513,6 +578,8 @@
 
     @Override public void discovered(ListLine line) {
         turn();
+        known.take(line, Addresses.text(discovery.address()));
+        keepsList = true;
         listed(subsystems.discovered(line, now));
     }
 
@@ -529,7 +596,11 @@
     private void list(ListLine line, Listing.Scope scope) {
         List<Listing.Entry> entries = new ArrayList<>(line.entries().size());
         for (ListLine.Entry entry : line.entries()) {
+            Endpoint before = directory.endpoint(entry.name());
             Endpoint endpoint = endpoint(entry);
+            if (before != null && before != endpoint) {
+                entries.add(new Listing.Entry(before, Listing.State.GONE, 0));
+            }
             Listing.State state = switch (entry.status()) {
                 case "SERVING" -> Listing.State.READY;
                 case "DRAINING" -> Listing.State.DRAINING;
@@ -558,12 +629,30 @@
         }
     }
 
+    /**
+     * The endpoint of this name. Guards mails against another destination's receiver, and repeats against another zone's:
+     * a name that comes back with another group, kind or zone is another endpoint.
+     */
     private Endpoint endpoint(ListLine.Entry entry) {
-        return directory.endpoint(entry.name(), () -> {
-            int kind = config.kinds().indexOf(entry.type());
-            return new Endpoint(endpointsSeen++, directory.destination(entry.group()),
-                    kind < 0 ? config.kinds().size() : kind, config.zones().indexOf(entry.zone()));
-        });
+        int listedAs = config.kinds().indexOf(entry.type());
+        int kind = listedAs < 0 ? config.kinds().size() : listedAs;
+        int zone = zone(entry.zone());
+        Endpoint known = directory.endpoint(entry.name());
+        if (known != null && !entry.status().equals("DELETED")
+                && (known.to.number != entry.group() || known.kind != kind || known.zone != zone)) {
+            directory.drop(entry.name());
+        }
+        return directory.endpoint(entry.name(),
+                () -> new Endpoint(endpointsSeen++, directory.destination(entry.group()), kind, zone));
+    }
+
+    /** Its number in the settings; below -1 where they don't name it, as no two of those are one zone. */
+    private int zone(String name) {
+        int named = config.zones().indexOf(name);
+        if (named < 0 && !name.isEmpty() && !otherZones.contains(name) && otherZones.size() < OTHER_ZONES) {
+            otherZones.add(name);
+        }
+        return named >= 0 ? named : otherZones.contains(name) ? -2 - otherZones.indexOf(name) : -1;
     }
 
     private void locate(Endpoint endpoint, ListLine.Entry entry) {
@@ -614,7 +703,12 @@
     }
 
     @Override public void finish() {
-        finish(0);
+        if (turning) {
+            // Guards clients whose requests the turn has read: they get their answers first.
+            stopsAfterTurn = true;
+        } else {
+            finish(0);
+        }
     }
 
     private void finish(int code) {
--- a/node/src/test/java/wrenreach/net/CallsTest.java
+++ b/node/src/test/java/wrenreach/net/CallsTest.java
@@ -313,6 +313,44 @@
         }
     }
 
+    /** Guards mails against another endpoint's receiver, which listens by now where this one did. */
+    @Test void aConnectionToAnAddressThatWasLeftCarriesNoFurtherCall() throws Exception {
+        try (ServerSocket elsewhere = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            elsewhere.setSoTimeout(20_000);
+            send(30 * SECOND);
+            try (Socket old = accept()) {
+                hear(old);
+                loop.submit(() -> calls.locate(endpoint, (InetSocketAddress) elsewhere.getLocalSocketAddress())).get();
+                answer(old, "HTTP/1.1 200 OK");
+                assertThat(outcome()).isEqualTo(new Outcome.Relayed());
+                assertThat(old.getInputStream().read()).isEqualTo(-1);
+                send(30 * SECOND);
+                try (Socket moved = elsewhere.accept()) {
+                    moved.setSoTimeout(20_000);
+                    hear(moved);
+                }
+            }
+        }
+    }
+
+    /** The same where the connection was still being made: nothing is written to it. */
+    @Test void aCallToAnAddressThatWasLeftMeanwhileIsNotSent() throws Exception {
+        try (ServerSocket elsewhere = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            holdBack = true;
+            send(30 * SECOND);
+            try (Socket old = accept()) {
+                endTurn();
+                loop.submit(() -> calls.locate(endpoint, (InetSocketAddress) elsewhere.getLocalSocketAddress())).get();
+                holdBack = false;
+                while (ended.isEmpty()) {
+                    endTurn();
+                }
+                assertThat(outcome()).isEqualTo(new Outcome.NotSent(false));
+                assertThat(old.getInputStream().read()).isEqualTo(-1);
+            }
+        }
+    }
+
     @Test void aRevokedCallEndsItsConnection() throws Exception {
         Connect connect = send(30 * SECOND);
         try (Socket socket = accept()) {
--- /dev/null
+++ b/node/src/test/java/wrenreach/net/NoticesTest.java
@@ -0,0 +1,106 @@
+package wrenreach.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import wrenreach.held.Ending;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Submission;
+
+/** Notices to a platform on loopback that the test plays itself. */
+class NoticesTest {
+    private static final long NEVER_MS = 3_600_000;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<HeldMail> heard = new LinkedBlockingQueue<>();
+    private ServerSocket platform;
+
+    @BeforeEach void listen() throws IOException {
+        platform = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        platform.setSoTimeout(20_000);
+    }
+
+    @AfterEach void close() throws IOException {
+        platform.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private static HeldMail ended(String id) {
+        HeldMail mail = new HeldMail(new Submission(id, "", "c", "t", "", 1, new byte[0]), 0);
+        mail.ending = new Ending(false, 0);
+        return mail;
+    }
+
+    private static void hear(Socket socket, String id) throws IOException {
+        socket.setSoTimeout(20_000);
+        StringBuilder got = new StringBuilder();
+        while (!got.toString().endsWith("{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}\n")) {
+            int c = socket.getInputStream().read();
+            assertThat(c).as("in %s", got).isNotNegative();
+            got.append((char) c);
+        }
+    }
+
+    private static void answer(Socket socket) throws IOException {
+        socket.getOutputStream().write("HTTP/1.1 204 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Guards endings against a connection that was closed as it stood idle: there is no time for a pause. */
+    @Test void aKeptConnectionThatBreaksIsMadeAnewAtOnce() throws Exception {
+        Notices notices = new Notices(loop, NioSocketChannel::new, (InetSocketAddress) platform.getLocalSocketAddress(), heard::add,
+                new Pauses(NEVER_MS, NEVER_MS, 1));
+        loop.submit(() -> {
+            notices.add(ended("a"));
+            notices.flush();
+        }).get();
+        try (Socket first = platform.accept()) {
+            hear(first, "a");
+            answer(first);
+            assertThat(heard.poll(20, TimeUnit.SECONDS).submission.id()).isEqualTo("a");
+            loop.submit(() -> {
+                notices.add(ended("b"));
+                notices.flush();
+            }).get();
+            hear(first, "b");
+        }
+        try (Socket second = platform.accept()) {
+            hear(second, "b");
+            answer(second);
+            assertThat(heard.poll(20, TimeUnit.SECONDS).submission.id()).isEqualTo("b");
+        }
+    }
+
+    /** Guards endings against a connection that says nothing: another is tried while there is time, and the first is closed. */
+    @Test void aPostThatIsNotAnsweredGoesAgain() throws Exception {
+        Notices notices = new Notices(loop, NioSocketChannel::new, (InetSocketAddress) platform.getLocalSocketAddress(), heard::add,
+                new Pauses(2, 2, 1));
+        loop.submit(() -> {
+            notices.add(ended("a"));
+            notices.flush();
+        }).get();
+        try (Socket first = platform.accept()) {
+            hear(first, "a");
+            try (Socket second = platform.accept()) {
+                assertThat(first.getInputStream().read()).isEqualTo(-1);
+                hear(second, "a");
+                answer(second);
+                assertThat(heard.poll(20, TimeUnit.SECONDS).submission.id()).isEqualTo("a");
+            }
+        }
+    }
+}
--- a/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -21,12 +22,16 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import wrenreach.Choice;
 import wrenreach.held.Ending;
 import wrenreach.held.HeldMail;
 import wrenreach.held.Journal;
 import wrenreach.held.PastConnect;
 import wrenreach.held.Submission;
+import wrenreach.net.Asker;
+import wrenreach.net.Reply;
 
 /** One node against a small receiver and platform on loopback. */
 class DeliveryNodeTest {
@@ -38,6 +43,9 @@
     private volatile String list;
     private String effect = "token";
     private int descriptors = 512;
+    private int weight = 10;
+    /** Whether discovery takes watches and says nothing. */
+    private volatile boolean mute;
     private DeliveryNode node;
 
     @BeforeEach void listen() throws IOException {
@@ -50,6 +58,9 @@
                 boolean other = exchange.getLocalAddress().getAddress().getAddress()[3] == 2;
                 heard.add((other ? "other " : "") + path + " " + (id == null ? "" : id + " ") + body);
             }
+            if (path.equals("/api/targets") && mute) {
+                return;
+            }
             if (path.equals("/api/targets") && list != null) {
                 LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(200)); // A node that does not wait has sent by then.
                 exchange.sendResponseHeaders(200, 0);
@@ -75,7 +86,8 @@
         String address = "127.0.0.1:" + outside.getAddress().getPort();
         String json = Files.readString(Path.of("deploy/sample.json")).replace("127.0.0.1:9", address)
                 .replace("token", effect)
-                .replace("512", Integer.toString(descriptors)).replace("\"TryLimit\": 4", "\"TryLimit\": 40");
+                .replace("512", Integer.toString(descriptors)).replace("\"TryLimit\": 4", "\"TryLimit\": 40")
+                .replace("\"weight\": 10", "\"weight\": " + weight);
         Config config = Config.parse(json.getBytes(StandardCharsets.UTF_8), Map.of());
         node = new DeliveryNode(config, Journal.open(state, config.diskBytes()), Choice::new);
         node.start();
@@ -111,6 +123,14 @@
         }
     }
 
+    /** The two receivers, each of a status, and of the destinations of these numbers. */
+    private String listOf(int index, String first, int firstGroup, String second) {
+        String entry = "{'name':'receiver-%1$d','address':'127.0.0.%1$d:%2$d','type':'small','zone':'home','group':%3$d,'status':'%4$s'}";
+        return ("{'index':" + index + ",'snapshot':true,'endpoints':["
+                + String.format(entry, 1, outside.getAddress().getPort(), firstGroup, first) + ","
+                + String.format(entry, 2, outside.getAddress().getPort(), 1, second) + "]}\n").replace('\'', '"');
+    }
+
     private HeldMail owe(String id, boolean outAtTheEnd, Ending ending) throws IOException {
         try (Journal journal = Journal.open(state, 2_000_000)) {
             long wall = 1000 * System.currentTimeMillis();
@@ -201,6 +221,99 @@
         assertThat(next()).isEqualTo("/events a2 body");
     }
 
+    /** A client that ends its sending may still listen: it hears that its mail was not taken on, and other answers. */
+    @Test void whoEndsItsSendingHearsItsAnswers() throws Exception {
+        InetSocketAddress at = start();
+        CountDownLatch goesOn = standStill();
+        try (Socket client = new Socket(at.getAddress(), at.getPort())) {
+            client.getOutputStream().write(("*1\r\n$4\r\nPING\r\n" + enqueue("a1", "c=order,t=shop,d=9000,dest=1")).getBytes());
+            client.shutdownOutput();
+            goesOn.countDown();
+            client.setSoTimeout(20_000);
+            assertThat(new String(client.getInputStream().readAllBytes())).isEqualTo("+PONG\r\n-BUSY\r\n");
+        }
+        owedNothing();
+        assertThat(heard).isEmpty();
+    }
+
+    /** Guards a request that is sent once more on a new connection, in the turn in which the old one is found closed. */
+    @Test void theSameIdComesAgainInTheTurnInWhichItsClientLeft() throws Exception {
+        InetSocketAddress at = start();
+        CountDownLatch goesOn = standStill();
+        try (Socket left = new Socket(at.getAddress(), at.getPort())) {
+            left.getOutputStream().write(enqueue("a1", "c=order,t=shop,d=9000,dest=1").getBytes());
+        }
+        try (Socket again = new Socket(at.getAddress(), at.getPort())) {
+            again.getOutputStream().write(enqueue("a1", "c=order,t=shop,d=9000,dest=1").getBytes());
+            goesOn.countDown();
+            again.setSoTimeout(20_000);
+            assertThat(new String(again.getInputStream().readNBytes(5))).isEqualTo("+OK\r\n");
+        }
+        assertThat(next()).isEqualTo("/events a1 body");
+        owedNothing();
+    }
+
+    /** Guards requests that wait unread, and connections not yet accepted, when a planned stop closes the door. */
+    @Test void theDoorClosesAfterOneMoreLookAtTheSockets() throws Exception {
+        InetSocketAddress at = start();
+        try (Socket known = new Socket(at.getAddress(), at.getPort())) {
+            assertThat(ping(known)).isEqualTo(7);
+            CountDownLatch goesOn = standStill();
+            try (Socket fresh = new Socket(at.getAddress(), at.getPort())) {
+                node.loop().execute(node::closeDoor);
+                for (Socket client : List.of(known, fresh)) {
+                    client.setSoTimeout(20_000);
+                    client.getOutputStream().write(enqueue("a" + client.getLocalPort(), "c=order,t=shop,d=9000,dest=1").getBytes());
+                }
+                goesOn.countDown();
+                for (Socket client : List.of(known, fresh)) {
+                    assertThat(new String(client.getInputStream().readAllBytes())).isEqualTo("-BUSY\r\n");
+                }
+            }
+        }
+        assertThat(heard).isEmpty();
+    }
+
+    /** Guards what a turn has read when the process ends in it: it is answered and in the journal first. */
+    @Test void anEndInATurnWaitsForTheTurnsAnswers() throws Exception {
+        answer = 503;
+        start();
+        CompletableFuture<Reply> answered = new CompletableFuture<>();
+        node.loop().execute(() -> {
+            node.handIn(new Submission("a1", "5", "order", "shop", "tag", 1, new byte[] {'x'}), 9000, new Asker() {
+                @Override public boolean abandoned() {
+                    return false;
+                }
+
+                @Override public void answer(Reply reply) {
+                    answered.complete(reply);
+                }
+            });
+            node.finish();
+        });
+        assertThat(node.stopped().get(20, TimeUnit.SECONDS)).isZero();
+        assertThat(answered).isCompletedWithValue(new Reply.Taken());
+        assertThat(Journal.read(state)).extracting(held -> held.submission.id()).containsExactly("a1");
+    }
+
+    /** Guards answers that a client has not read: bytes that nobody reads any more would reset its connection. */
+    @Test void whatIsUnreadAtTheEndDestroysNoAnswer() throws Exception {
+        InetSocketAddress at = start();
+        CountDownLatch goesOn = standStill();
+        try (Socket client = new Socket(at.getAddress(), at.getPort())) {
+            client.getOutputStream().write("PING\r\n".repeat(65).getBytes(StandardCharsets.US_ASCII));
+            goesOn.countDown();
+            client.setSoTimeout(20_000);
+            assertThat(new String(client.getInputStream().readNBytes(7))).isEqualTo("+PONG\r\n");
+            for (int i = 0; i < 200; i++) { // The node has written its last answer; a reset would show at the second write.
+                client.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
+                node.loop().submit(() -> { }).get();
+            }
+            assertThat(new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .isEqualTo("+PONG\r\n".repeat(63) + "-ERR too many requests at once\r\n");
+        }
+    }
+
     @Test void whatIsNotKnownIsAnError() throws Exception {
         InetSocketAddress at = start();
         assertThat(ask(at, enqueue("a", "c=other,t=shop,d=9000,dest=1"), 1)).startsWith("-ERR");
@@ -288,15 +401,53 @@
 
     /** What was owed went out by the list in the config, to endpoints that drained while no process ran. */
     @Test void aRestartSendsNothingBeforeTheWatchHasSpoken() throws Exception {
-        String entry = "{'name':'receiver-%1$d','address':'127.0.0.%1$d:%2$d','type':'small','group':1,'status':'%3$s'}";
-        list = ("{'index':5,'snapshot':true,'endpoints':["
-                + String.format(entry, 1, outside.getAddress().getPort(), "DRAINING") + ","
-                + String.format(entry, 2, outside.getAddress().getPort(), "SERVING") + "]}\n").replace('\'', '"');
+        list = listOf(5, "DRAINING", 1, "SERVING");
         owe("a1", false, null);
         start();
         assertThat(next()).isEqualTo("other /events a1 x");
     }
 
+    /** Guards drains that an earlier process was told of, while discovery says nothing to this one. */
+    @Test void whatOneProcessWasToldHoldsForTheNext() throws Exception {
+        list = listOf(5, "DRAINING", 1, "SERVING");
+        InetSocketAddress at = start();
+        assertThat(ask(at, enqueue("a1", "c=order,t=shop,d=9000,k=tag,dest=1"), 1)).startsWith("+OK");
+        assertThat(next()).isEqualTo("other /events a1 body");
+        owedNothing();
+        mute = true;
+        owe("a2", false, null);
+        start();
+        assertThat(next()).isEqualTo("other /events a2 x");
+    }
+
+    /** A list in the state folder that is spoilt, of another form, or older than the config's is as if it were not there. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{\"form\":1,\"from\":\"127.0.0.1:9\",\"list\":{\"index\":7,\"endp", "{\"form\":2,\"list\":{\"index\":7}}",
+        "{\"form\":1,\"from\":\"127.0.0.1:9\",\"list\":{\"index\":-7,\"endpoints\":[]}}", "[]", "\u0000"})
+    void aKeptListThatCantBeUsedIsPassedOver(String text) throws Exception {
+        Files.writeString(state.resolve("list"), text);
+        owe("a1", false, null);
+        start();
+        assertThat(next()).isEqualTo("/events a1 x");
+        owedNothing();
+    }
+
+    /** Guards mails against another destination's receiver: a name that is listed anew with another group is another endpoint. */
+    @Test void aNameThatComesBackForAnotherDestinationIsAnotherEndpoint() throws Exception {
+        list = listOf(5, "SERVING", 2, "DRAINING");
+        InetSocketAddress at = start();
+        String answer = "-ERR";
+        for (int i = 0; i < 2000 && answer.startsWith("-ERR"); i++) {
+            Thread.sleep(5);
+            answer = ask(at, enqueue("b1", "c=order,t=shop,d=9000,dest=2"), 1);
+        }
+        assertThat(answer).startsWith("+OK");
+        assertThat(next()).isEqualTo("/events b1 body");
+        // Its own destination has nobody left that serves.
+        assertThat(ask(at, enqueue("a1", "c=order,t=shop,d=2000,dest=1"), 1)).startsWith("+OK");
+        assertThat(next()).startsWith("/v2/finals {\"id\":\"a1\"");
+    }
+
     /** Guards effects: a once-only mail whose call was out when the process ended may have run. */
     @Test void aOnceOnlyMailThatMayHaveRunEndsUndeliverable() throws Exception {
         effect = "side_effect";
@@ -324,6 +475,34 @@
         owedNothing();
     }
 
+    /** Guards the order of a key whose only mail has ended unconfirmed, when the directory has dropped the key meanwhile. */
+    @Test void aKeyThatWasForgottenStillWaitsForTheNotice() throws Exception {
+        confirm = 503;
+        weight = 1000;
+        owe("a1", false, new Ending(true, 0));
+        InetSocketAddress at = start();
+        StringBuilder others = new StringBuilder();
+        for (int i = 100; i < 196; i++) { // As many keys as make the directory drop those that no mail waits for.
+            others.append(enqueue("b" + i, "c=order,t=shop,d=9000,dest=1").replace("$1\r\n5\r\n", "$3\r\n" + i + "\r\n"));
+            if (i % 32 == 3) {
+                assertThat(ask(at, others.toString(), 32)).doesNotContain("-ERR");
+                others.setLength(0);
+            }
+        }
+        assertThat(ask(at, enqueue("a2", "c=order,t=shop,d=9000,dest=1"), 1)).startsWith("+OK");
+        assertThat(ask(at, enqueue("c1", "c=order,t=shop,d=9000,dest=1").replace("$1\r\n5\r\n", "$1\r\n7\r\n"), 1)).startsWith("+OK");
+        String last = next();
+        while (!last.startsWith("/events c1")) { // It came after a2, at another key.
+            assertThat(last).doesNotContain("a2");
+            last = next();
+        }
+        confirm = 204;
+        while (!last.startsWith("/events a2")) {
+            last = next();
+        }
+        owedNothing();
+    }
+
     /** Guards endings while the platform moves: what the old address did not answer goes to the new one. */
     @Test void afterAReloadTheListAndNoticesComeFromTheNewAddress() throws Exception {
         confirm = 503;
