--- /dev/null
+++ b/app/src/test/java/wrenreach/app/RestartTest.java
@@ -0,0 +1,180 @@
+package wrenreach.app;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Whole processes that end with mails taken on and not yet tried: the next process calls their receiver. Counted by the receiver
+ * and the platform, which the test plays itself.
+ */
+class RestartTest {
+    private static final int MAILS = 80;
+    private static final Pattern ID = Pattern.compile("\"id\":\"(m\\d+)\"");
+    @TempDir Path folder;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final Set<String> called = ConcurrentHashMap.newKeySet();
+    private final Set<String> noticed = ConcurrentHashMap.newKeySet();
+    private HttpServer outside;
+    private int door;
+    /** What a receiver tells its callers to wait, in milliseconds; 0: it works. */
+    private volatile long shutFor;
+    /** Whether discovery takes watches and says nothing. */
+    private volatile boolean mute;
+    private Process node;
+
+    @BeforeEach void listen() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            door = free.getLocalPort();
+        }
+        outside = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100);
+        outside.setExecutor(threads);
+        outside.createContext("/events", exchange -> {
+            exchange.getRequestBody().readAllBytes();
+            if (shutFor > 0) {
+                exchange.getResponseHeaders().set("Wait-Ms", Long.toString(shutFor));
+            } else {
+                called.add(exchange.getRequestHeaders().getFirst("X-Call-Id"));
+            }
+            exchange.sendResponseHeaders(shutFor > 0 ? 429 : 200, -1);
+            exchange.close();
+        });
+        outside.createContext("/v2/finals", exchange -> {
+            Matcher ids = ID.matcher(new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.US_ASCII));
+            while (ids.find()) {
+                noticed.add(ids.group(1));
+            }
+            exchange.sendResponseHeaders(204, -1);
+            exchange.close();
+        });
+        outside.createContext("/api/targets", exchange -> {
+            if (!mute) {
+                exchange.sendResponseHeaders(200, 0);
+                exchange.getResponseBody().write("{\"index\":0,\"snapshot\":false,\"endpoints\":[]}\n".getBytes(StandardCharsets.US_ASCII));
+                exchange.getResponseBody().flush(); // A watch stays open.
+            }
+        });
+        outside.start();
+    }
+
+    @AfterEach void close() throws InterruptedException {
+        if (node != null) {
+            node.destroyForcibly().waitFor();
+        }
+        outside.stop(0);
+        threads.shutdownNow();
+    }
+
+    /** Starts a process whose settings have this weight of the receiver, and waits until it serves. */
+    private void start(int weight) throws Exception {
+        String json = Files.readString(Path.of("deploy/sample.json")).replace("127.0.0.1:9", "127.0.0.1:" + outside.getAddress().getPort())
+                .replace("127.0.0.1:0", "127.0.0.1:" + door).replace("\"weight\": 10", "\"weight\": " + weight);
+        Path config = Files.writeString(folder.resolve("config.json"), json);
+        node = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "wrenreach.app.Launch", "serve", "--config",
+                config.toString(), "--state", folder.resolve("state").toString())
+                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
+        for (int i = 0; i < 2000; i++) {
+            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), door)) {
+                client.setSoTimeout(20_000);
+                client.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertThat(client.getInputStream().read()).isEqualTo('+');
+                return;
+            } catch (IOException e) {
+                Thread.sleep(10); // It does not listen yet.
+            }
+        }
+        throw new AssertionError("does not serve: " + Files.readString(folder.resolve("log")));
+    }
+
+    /** Hands in mails, one connection; those that were taken on. */
+    private Set<String> handIn(long lifetimeMs) throws IOException {
+        Set<String> taken = new LinkedHashSet<>();
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), door)) {
+            client.setSoTimeout(20_000);
+            for (int i = 0; i < MAILS; i++) {
+                StringBuilder request = new StringBuilder("*5\r\n");
+                for (String word : List.of("ENQUEUE", "k" + i, "m" + i, "c=order,t=shop,d=" + lifetimeMs + ",k=t" + i + ",dest=1", "body")) {
+                    request.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+                }
+                client.getOutputStream().write(request.toString().getBytes(StandardCharsets.US_ASCII));
+                StringBuilder answer = new StringBuilder();
+                while (!answer.toString().endsWith("\n")) {
+                    answer.append((char) client.getInputStream().read());
+                }
+                if (answer.toString().startsWith("+OK")) {
+                    taken.add("m" + i);
+                }
+            }
+        }
+        return taken;
+    }
+
+    private void end(String how) throws InterruptedException {
+        if (how.equals("TERM")) {
+            node.destroy();
+        } else {
+            node.destroyForcibly();
+        }
+        assertThat(node.waitFor(20, TimeUnit.SECONDS)).isTrue();
+    }
+
+    /** The counts are of mails that no call was made for before the first end; all but the first, which learnt the wait. */
+    @ParameterizedTest
+    @CsvSource({"KILL, 1, 20000, 12000, 200, false", "TERM, 1, 20000, 12000, 200, false", "KILL, 1, 20000, 12000, 200, true",
+        "KILL, 1, 20000, 12000, 12, false", "KILL, 3, 20000, 12000, 200, false", "KILL, 1, 5000, 2000, 200, false",
+        "KILL, 1, 5000, 2000, 12, false"})
+    void whatARestartFindsUntriedIsCalled(String how, int ends, long lifetimeMs, long waitMs, int weight, boolean discoveryDown)
+            throws Exception {
+        shutFor = waitMs;
+        start(200);
+        Set<String> taken = handIn(lifetimeMs);
+        assertThat(taken.size()).isGreaterThan(MAILS / 2);
+        for (int i = 0; i < ends; i++) {
+            end(how);
+            if (i == ends - 1) {
+                shutFor = 0;
+                mute = discoveryDown;
+            }
+            start(weight);
+        }
+        Set<String> over = new HashSet<>();
+        for (int i = 0; i < 3000 && !over.containsAll(taken); i++) {
+            Thread.sleep(10);
+            over.addAll(called);
+            over.addAll(noticed);
+        }
+        assertThat(over).containsAll(taken);
+        Set<String> untried = new HashSet<>(taken);
+        untried.removeAll(called);
+        System.out.println(how + " " + ends + " " + lifetimeMs + " ms, weight " + weight + ": " + taken.size() + " taken, "
+                + untried.size() + " given up with no call");
+        assertThat(2 * untried.size()).as("given up with no call of %d", taken.size()).isLessThan(taken.size());
+        if (lifetimeMs > 10_000 && weight > 100) {
+            assertThat(untried).isEmpty();
+        }
+    }
+}
--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -48,6 +48,8 @@
     // for each call that it serves.
     private static final double KEEP = 2, KEEP_NEW = 10;
     private static final int ROOMY = 64, ROOMY_FORGETS = 4;
+    // Usual times before its end at which a mail that is owed a try gets it: time for the call and a slow one.
+    private static final int LAST_TRY = 3;
     // One part in so many: of the slots for the lane, of the held mails kept free, of the time to ask in.
     private static final int LANE_PART = 3, ROOM_PART = 16, ASK_PART = 8;
     // Endpoint order, in calls out: a call to join first, shunned ones last, then the last tried, cold
@@ -152,7 +154,9 @@
         hear(c.endpoint, report, now);
         // Guards the wait rule: each mail of a call brings its own wait, some a tick later than the first.
         if (outcome instanceof Outcome.Full full && full.pause() > 0) {
-            c.endpoint.route.heldUntil = Math.max(c.endpoint.route.heldUntil, now + full.pause() + tick);
+            Route r = c.endpoint.route;
+            r.toldUntil = Math.max(r.toldUntil, now + full.pause() + tick);
+            r.heldUntil = Math.max(r.heldUntil, r.toldUntil);
         }
         learn(c, outcome, now);
         if (mail.key != null && (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.Broken
@@ -354,7 +358,28 @@
     }
 
     private boolean full(Mail m, long now) {
-        return !m.overShare && now + usualOf(m.to) <= m.dueBy;
+        return !m.overShare && (owedTry(m) || now + usualOf(m.to) <= m.dueBy);
+    }
+
+    /**
+     * Whether an earlier process took the mail on and never tried it. Guards against giving most of those up untried where a
+     * receiver takes less than comes: late at a restart, they would all stand behind what comes new. So they count as in
+     * time for their first try. Harm: new mails are late in their place.
+     */
+    private static boolean owedTry(Mail m) {
+        return m.owed && m.connects.isEmpty();
+    }
+
+    /**
+     * Whether such a mail goes now or never: then it borrows a turn from those that come. Guards the same where what may be
+     * sent until its end is less than what was found. Harm: a call that the receiver may refuse.
+     */
+    private boolean lastTry(Mail m, Route r, long now) {
+        return owedTry(m) && !r.cold && r.toldUntil <= now && now >= lastTryAt(m);
+    }
+
+    private long lastTryAt(Mail m) {
+        return m.endsBy - LAST_TRY * usualOf(m.to) - late;
     }
 
     /**
@@ -363,7 +388,7 @@
      */
     private double importance(Mail m, long now) {
         Settings.QueueClass kind = classOf(m);
-        double late = now + usualOf(m.to) - m.dueBy;
+        double late = owedTry(m) ? 0 : now + usualOf(m.to) - m.dueBy;
         double delay = kind.targetDelay();
         double left = late <= 0 ? 1 : kind.byHalf() ? Math.max(kind.lateShare(), Math.pow(0.5, late / delay))
                 : 1 - (1 - kind.lateShare()) * Math.min(1, late / Math.max(delay, kind.lifetime() - delay));
@@ -387,7 +412,7 @@
         Endpoint best = null;
         double least = Double.MAX_VALUE;
         for (Endpoint e : d.endpoints) {
-            if (!maySend(m, e, now) || !joins(e, now) && !admits(e, now)) {
+            if (!maySend(m, e, now) || !joins(e, now) && !admits(e, m, now)) {
                 continue;
             }
             double cost = e.out + (idle(e, now) ? 0 : NEW_CONNECTION) + (e.zone == zone ? 0 : OTHER_ZONE)
@@ -408,7 +433,7 @@
     }
 
     /** Whether the endpoint may be given a call now: breaker, wait, pace, places, slots, lane. */
-    private boolean admits(Endpoint e, long now) {
+    private boolean admits(Endpoint e, Mail m, long now) {
         Route r = e.route;
         // Half of the slots, but two of three: guards clumps at nodes of few slots. Harm: it may turn silent.
         int most = Math.max(Math.min(2, slots - 1), Math.max(1, slots / 2));
@@ -418,7 +443,7 @@
         if (sick(r, now) && (r.calls.size() >= 1 || laneOut(now) >= lane)) {
             return false;
         }
-        return hasToken(r, now);
+        return hasToken(r, now) || lastTry(m, r, now);
     }
 
     private boolean shunned(Endpoint e, long now) {
@@ -449,7 +474,7 @@
 
     private boolean maySend(Mail m, Endpoint e, long now) {
         Route r = e.route;
-        if (m.over || !e.ready || r.heldUntil > now || m.connects.size() >= tries) {
+        if (m.over || !e.ready || r.heldUntil > now && !lastTry(m, r, now) || m.connects.size() >= tries) {
             later(r.heldUntil, now);
             return false;
         }
@@ -497,7 +522,8 @@
             e.out++;
             e.to.out++;
             slotsOut++;
-            r.tokens--;
+            // A turn that is borrowed is given back by the next one; more would hold up all that come after a restart.
+            r.tokens = Math.max(-1, r.tokens - 1);
             r.sent.add(now);
             e.gap = now - e.usedAt;
             e.usedAt = now;
@@ -1019,6 +1045,7 @@
                     end(m, expectedWait(d, 0, now), now);
                 } else {
                     later(m.endsBy - 3 * tick - late, now);
+                    later(owedTry(m) ? lastTryAt(m) : now, now);
                 }
             }
         }
--- a/decisions/src/main/java/wrenreach/state/Route.java
+++ b/decisions/src/main/java/wrenreach/state/Route.java
@@ -29,6 +29,8 @@
     public double tokens = 1;
     public long tokensAt;
     public long heldUntil;
+    /** Until when the receiver told to wait; the rest of heldUntil is this node's own caution. */
+    public long toldUntil;
     public int deferredRun;
     public double usual;
     public double recent;
--- a/lab/src/main/java/wrenreach/lab/Rules.java
+++ b/lab/src/main/java/wrenreach/lab/Rules.java
@@ -19,11 +19,12 @@
 final class Rules {
     /**
      * The rules, by what breaks them, each with its oracle: the one place where one is added. The first six are those that the
-     * product keeps; UNTRUE is a final answer that its own receiver contradicts.
+     * product keeps; UNTRUE is a final answer that its own receiver contradicts; UNTRIED is what a process left taken on
+     * and its successor gave up with no call.
      */
     enum Rule {
         LOST(Rules::lost), TWICE(Rules::twice), DRAIN(Rules::drains), PUSHED_OVER(Rules::pushedOver), ORDER(Rules::order),
-        WAIT(Rules::waits), UNTRUE(Rules::untrue);
+        WAIT(Rules::waits), UNTRUE(Rules::untrue), UNTRIED(Rules::untried);
 
         private final Consumer<Rules> oracle;
 
@@ -41,6 +42,9 @@
     private static final long MS = 1_000_000, SECOND = 1000 * MS;
     private static final long NOTICE_SLACK = 300 * MS, AFTER_READY = 1500 * MS, AFTER_CUT = 7 * SECOND, WAIT_SLACK = 100 * MS,
             DRAIN_SLACK = 50 * MS, LIST_AFTER_READY = 1000 * MS, HELD_UP = 300 * MS, SEEN = 50 * MS, IN_DOUBT = SECOND;
+    /** Fewer mails found untried in a day say nothing; nor does one with less time left. */
+    private static final int FOUND_LEAST = 10;
+    private static final long TIME_LEFT = SECOND;
 
     /** A time during which a node can't be held to something. */
     private record Span(long from, long to) { }
@@ -354,6 +358,40 @@
         }
     }
 
+    /**
+     * What a process left taken on and never called is still called by the next: not over half of a day's ends with no call.
+     * Not judged: mails with next to no time left, or whose receivers or links had a trouble, once the node was back.
+     */
+    private void untried() {
+        List<Span> troubles = facts.stream().filter(fact -> fact instanceof Fact.Fault fault && (fault.of().kind().of == Scenario.Of.RECEIVER
+                || fault.of().kind().of == Scenario.Of.LINK || fault.of().kind().of == Scenario.Of.SETS
+                || fault.of().kind() == Scenario.Kind.CUT_RECEIVER || fault.of().kind() == Scenario.Kind.MUTE
+                || fault.of().kind() == Scenario.Kind.DEAF)).map(fact -> new Span(fact.at(), ((Fact.Fault) fact).until())).toList();
+        Map<String, String> open = new LinkedHashMap<>();
+        Set<String> found = new HashSet<>();
+        int givenUp = 0;
+        for (Fact fact : facts) {
+            if (fact instanceof Fact.Answered answered && answered.answer().equals("OK")) {
+                open.put(answered.id(), answered.node());
+            } else if (fact instanceof Fact.Called called) {
+                open.remove(called.id());
+            } else if (fact instanceof Fact.Noticed noticed && open.remove(noticed.id()) != null) {
+                givenUp += found.contains(noticed.id()) ? 1 : 0;
+            } else if (fact instanceof Fact.Serves back) {
+                open.forEach((id, node) -> {
+                    long until = mails.get(id).until();
+                    if (node.equals(back.node()) && until - back.at() > TIME_LEFT && !forgotten.contains(id)
+                            && troubles.stream().noneMatch(span -> span.from < until && span.to > back.at())) {
+                        found.add(id);
+                    }
+                });
+            }
+        }
+        if (found.size() >= FOUND_LEAST && 2 * givenUp > found.size()) {
+            broke(Rule.UNTRIED, end, givenUp + " of " + found.size() + " mails that restarts found untried ended with no call");
+        }
+    }
+
     private void contradicted(Fact.Delivered answer, Set<String> closed, String node, long at, String what) {
         if (answer == null || closed.contains(answer.id()) || forgotten.contains(answer.id()) || at - answer.at() < SEEN) {
             return;
--- a/lab/src/test/java/wrenreach/lab/LabTest.java
+++ b/lab/src/test/java/wrenreach/lab/LabTest.java
@@ -45,7 +45,7 @@
         FORGETS_A_BOUNCE(Rules.Rule.LOST), ENDS_LATE(Rules.Rule.LOST), FORGETS_THAT_IT_RAN(Rules.Rule.TWICE),
         CALLS_IT_HARMLESS(Rules.Rule.TWICE), KEEPS_THE_DRAINED(Rules.Rule.DRAIN), DEAF_TO_LISTS(Rules.Rule.DRAIN),
         DEAF_TO_WAITS(Rules.Rule.WAIT), HALVES_WAITS(Rules.Rule.WAIT), LAST_GOES_FIRST(Rules.Rule.ORDER),
-        MIXES_KEYS(Rules.Rule.ORDER);
+        MIXES_KEYS(Rules.Rule.ORDER), GIVES_UP_WHAT_IT_FINDS(Rules.Rule.UNTRIED);
 
         private final Rules.Rule rule;
 
@@ -74,6 +74,10 @@
 
                 @Override public List<Answer> admit(Mail mail, long now) {
                     List<Answer> answers = twist(sound.admit(mail, now));
+                    if (Wrong.this == GIVES_UP_WHAT_IT_FINDS && mail.owed && !mail.over) {
+                        answers.addAll(sound.withdrawn(mail, now));
+                        answers.add(new Answer.Defer(mail, 0));
+                    }
                     if (Wrong.this == LAST_GOES_FIRST || Wrong.this == MIXES_KEYS && count++ % 3 == 0) {
                         mail.key.mails.remove(mail);
                         mail.key.mails.addFirst(mail);
@@ -134,6 +138,9 @@
                     "length 9000", "fault full 0 at 1500 for 1500", "fault drain 1 at 2500 for 1000",
                     "fault erring 2 at 3500 for 2500", "fault silent 0 at 5000 for 2000", "fault down 3 at 6000 for 2500")));
         }
+        // Killed with what it could not send yet.
+        days.add(Scenario.parse(List.of("seed 10", "nodes 1", "destinations 1", "endpoints 1", "rate 25", "length 6000",
+                "fault full 0 at 1000 for 1900", "fault kill 0 at 2950 for 300")));
         return days;
     }
 
--- a/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -481,6 +481,10 @@
         weight = 1000;
         owe("a1", false, new Ending(true, 0));
         InetSocketAddress at = start();
+        assertThat(ask(at, enqueue("b99", "c=order,t=shop,d=9000,dest=1").replace("$1\r\n5\r\n", "$2\r\n99\r\n"), 1)).startsWith("+OK");
+        while (!next().startsWith("/events b99")) {
+            Thread.onSpinWait(); // Once it is called, keys rest no longer after the start.
+        }
         StringBuilder others = new StringBuilder();
         for (int i = 100; i < 196; i++) { // As many keys as make the directory drop those that no mail waits for.
             others.append(enqueue("b" + i, "c=order,t=shop,d=9000,dest=1").replace("$1\r\n5\r\n", "$3\r\n" + i + "\r\n"));
