--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -4,9 +4,13 @@
 import static org.assertj.core.api.Assertions.within;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import wrenreach.api.Answer;
 import wrenreach.api.Listing;
 import wrenreach.api.Outcome;
@@ -30,6 +34,34 @@
 
     // ---- Breaker ----
 
+    /** Guards mails found untried where less may be sent than was found: each has its call before its end, or a reason. */
+    @ParameterizedTest
+    @CsvSource({"false, 8", "true, 0"})
+    void whatWasFoundUntriedBorrowsATurnBeforeItsEndUnlessToldToWait(boolean told, int calls) {
+        Setup s = new Setup();
+        s.weight = 10;
+        s.nodes = 100;
+        Endpoint e = s.endpoint(1, 0);
+        if (told) {
+            s.end(s.send(), new Outcome.Full(60_000 * Setup.MS));
+            s.answers.clear();
+        }
+        for (int i = 0; i < 8; i++) {
+            Mail m = new Mail(1000 + i, s.to, null, 0, 0, s.now, s.now + (9000 + 1000 * i) * Setup.MS);
+            m.owed = true;
+            s.answers.addAll(s.choice().admit(m, s.now));
+        }
+        Set<Mail> sent = new HashSet<>();
+        for (int turn = 0; turn < 1800; turn++) {
+            for (Connect c : s.turn(10)) {
+                assertThat(e.out).isPositive();
+                sent.add(c.mail);
+                s.end(c, new Outcome.Relayed());
+            }
+        }
+        assertThat(sent.stream().filter(m -> m.owed)).hasSize(calls);
+    }
+
     /** Guards what an earlier process took on: it is neither judged at the door again nor turned away for room untried. */
     @Test void whatAnEarlierProcessTookOnIsNotTurnedAwayUntried() {
         Setup s = new Setup();
--- a/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -457,6 +457,18 @@
         owedNothing();
     }
 
+    /** Guards mails of a class that the config no longer has: no other's settings judge them. */
+    @Test void aMailOfAClassThatIsNoMoreEndsUndeliverable() throws Exception {
+        try (Journal journal = Journal.open(state, 2_000_000)) {
+            journal.taken(new HeldMail(new Submission("a1", "5", "gone", "shop", "tag", 1, new byte[] {'x'}),
+                    1000 * System.currentTimeMillis() + 15_000_000));
+            journal.write();
+        }
+        start();
+        assertThat(next()).isEqualTo("/v2/finals {\"id\":\"a1\",\"status\":\"undeliverable\"}");
+        owedNothing();
+    }
+
     /** Guards endings and the order of keys: a notice goes until it is confirmed, and its key waits for that. */
     @Test void aNoticeGoesAgainUntilItIsConfirmedBeforeItsKeyGoesOn() throws Exception {
         confirm = 503;
