WatchedListsTest waits for the status that is written after the list is heard

The test read status.json right after the node had heard the new list; the watcher's thread writes it a moment later. It now waits for the status to name the new list with nothing held back, and then checks the command as before: as strict, no longer a race.

--- a/lists/src/test/java/wrenreach/lists/WatchedListsTest.java
+++ b/lists/src/test/java/wrenreach/lists/WatchedListsTest.java
@@ -212,6 +212,8 @@
         put("one left", print, "a");
         until("a");
         assertThat(seen).isSubsetOf(Set.of(), Set.of("a", "b", "c"), Set.of("a"));
+        // The status is written after the node has heard of the list.
+        status(s -> s.label().equals("one left") && s.heldPrint().isEmpty());
         assertThat(command(0, "status", kept().toString())).contains("\"one left\", 1 endpoints").doesNotContain("held");
     }
 
