--- a/node/src/test/java/wrenreach/net/DiscoveryTest.java
+++ b/node/src/test/java/wrenreach/net/DiscoveryTest.java
@@ -167,7 +167,7 @@
 
     /** Guards what is told meanwhile: a watch that dies in the middle of a line, a byte at a time, says nothing. */
     @Test void bytesWithoutALineDoNotKeepAWatchAlive() throws Exception {
-        follow(true, 300, 2);
+        follow(true, 2000, 2);
         try (Socket watch = asked("/api/targets?stream=1&index=3")) {
             begin(watch);
             say(watch, FIRST + "{");
