--- a/node/src/test/java/wrenreach/net/DiscoveryTest.java
+++ b/node/src/test/java/wrenreach/net/DiscoveryTest.java
@@ -165,6 +165,27 @@
         }
     }
 
+    /** The same where each watch begins with a sound list: the pauses grow until one has come to a blank line. */
+    @Test void pausesGrowThoughEachWatchBeginsSoundly() throws Exception {
+        discovery = new Discovery(loop, NioSocketChannel::new, this, (InetSocketAddress) agent.getLocalSocketAddress(), 3,
+                true, true, 1, new Discovery.Patience(NEVER_MS, 250, NEVER_MS));
+        loop.execute(discovery::follow);
+        int came = 0;
+        try {
+            for (; came < 12; came++) {
+                try (Socket watch = asked("/api/targets?stream=1&index=" + (came == 0 ? 3 : 5))) {
+                    begin(watch);
+                    say(watch, FIRST + "nonsense\n");
+                    assertThat(watch.getInputStream().read()).isEqualTo(-1);
+                }
+                agent.setSoTimeout(1500);
+            }
+        } catch (SocketTimeoutException e) {
+            assertThat(came).isPositive();
+        }
+        assertThat(came).isLessThan(12);
+    }
+
     /** Guards what is told meanwhile: a watch that dies in the middle of a line, a byte at a time, says nothing. */
     @Test void bytesWithoutALineDoNotKeepAWatchAlive() throws Exception {
         follow(true, 2000, 2);
--- a/node/src/test/java/wrenreach/net/NoticesTest.java
+++ b/node/src/test/java/wrenreach/net/NoticesTest.java
@@ -40,10 +40,19 @@
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
-    private static HeldMail ended(String id) {
+    private Notices notices(long pauseMs) {
+        return new Notices(loop, NioSocketChannel::new, (InetSocketAddress) platform.getLocalSocketAddress(), heard::add,
+                new Pauses(pauseMs, pauseMs, 1));
+    }
+
+    /** Ends a mail. */
+    private void tell(Notices notices, String id) throws Exception {
         HeldMail mail = new HeldMail(new Submission(id, "", "c", "t", "", 1, new byte[0]), 0);
         mail.ending = new Ending(false, 0);
-        return mail;
+        loop.submit(() -> {
+            notices.add(mail);
+            notices.flush();
+        }).get();
     }
 
     private static void hear(Socket socket, String id) throws IOException {
@@ -62,20 +71,13 @@
 
     /** Guards endings against a connection that was closed as it stood idle: there is no time for a pause. */
     @Test void aKeptConnectionThatBreaksIsMadeAnewAtOnce() throws Exception {
-        Notices notices = new Notices(loop, NioSocketChannel::new, (InetSocketAddress) platform.getLocalSocketAddress(), heard::add,
-                new Pauses(NEVER_MS, NEVER_MS, 1));
-        loop.submit(() -> {
-            notices.add(ended("a"));
-            notices.flush();
-        }).get();
+        Notices notices = notices(NEVER_MS);
+        tell(notices, "a");
         try (Socket first = platform.accept()) {
             hear(first, "a");
             answer(first);
             assertThat(heard.poll(20, TimeUnit.SECONDS).submission.id()).isEqualTo("a");
-            loop.submit(() -> {
-                notices.add(ended("b"));
-                notices.flush();
-            }).get();
+            tell(notices, "b");
             hear(first, "b");
         }
         try (Socket second = platform.accept()) {
@@ -87,12 +89,8 @@
 
     /** Guards endings against a connection that says nothing: another is tried while there is time, and the first is closed. */
     @Test void aPostThatIsNotAnsweredGoesAgain() throws Exception {
-        Notices notices = new Notices(loop, NioSocketChannel::new, (InetSocketAddress) platform.getLocalSocketAddress(), heard::add,
-                new Pauses(2, 2, 1));
-        loop.submit(() -> {
-            notices.add(ended("a"));
-            notices.flush();
-        }).get();
+        Notices notices = notices(2);
+        tell(notices, "a");
         try (Socket first = platform.accept()) {
             hear(first, "a");
             try (Socket second = platform.accept()) {
