--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -36,36 +38,50 @@
 
     /** Guards mails found untried where less may be sent than was found: each has its call before its end, or a reason. */
     @ParameterizedTest
-    @CsvSource({"false, 8", "true, 0"})
+    @CsvSource({"false, 30", "true, 0"})
     void whatWasFoundUntriedBorrowsATurnBeforeItsEndUnlessToldToWait(boolean told, int calls) {
         Setup s = new Setup();
-        s.weight = 10;
+        s.weight = 0.5;
         s.nodes = 100;
-        Endpoint e = s.endpoint(1, 0);
+        s.endpoint(1, 0);
         if (told) {
             s.end(s.send(), new Outcome.Full(60_000 * Setup.MS));
             s.answers.clear();
         }
-        for (int i = 0; i < 8; i++) {
-            Mail m = new Mail(1000 + i, s.to, null, 0, 0, s.now, s.now + (9000 + 1000 * i) * Setup.MS);
+        for (int i = 0; i < 30; i++) { // Some ten go by pace in that time.
+            Mail m = new Mail(1000 + i, s.to, null, 0, 0, s.now, s.now + (9000 + 150 * i) * Setup.MS);
             m.owed = true;
             s.answers.addAll(s.choice().admit(m, s.now));
         }
         Set<Mail> sent = new HashSet<>();
-        for (int turn = 0; turn < 1800; turn++) {
-            for (Connect c : s.turn(10)) {
-                assertThat(e.out).isPositive();
-                sent.add(c.mail);
-                s.end(c, new Outcome.Relayed());
+        Deque<List<Connect>> out = new ArrayDeque<>();
+        for (int turn = 0; turn < 1500; turn++) {
+            out.addLast(s.turn(10));
+            out.getLast().forEach(c -> sent.add(c.mail));
+            if (out.size() > 10) { // Each takes a tenth of a second.
+                out.removeFirst().forEach(c -> s.end(c, new Outcome.Relayed()));
             }
         }
         assertThat(sent.stream().filter(m -> m.owed)).hasSize(calls);
     }
 
+    /** The same where new mails come: late as it is, what was found untried goes before them. */
+    @Test void whatWasFoundUntriedDoesNotStandBehindNewMails() {
+        Setup s = new Setup();
+        s.weight = 0.5;
+        s.nodes = 100;
+        s.endpoint(1, 0);
+        Mail m = new Mail(1000, s.to, null, 0, 0, s.now, s.now + 10_000 * Setup.MS);
+        m.owed = true;
+        s.answers.addAll(s.choice().admit(m, s.now));
+        s.mail(null);
+        assertThat(s.turn(5)).extracting(c -> c.mail).containsExactly(m);
+    }
+
     /** Guards what an earlier process took on: it is neither judged at the door again nor turned away for room untried. */
     @Test void whatAnEarlierProcessTookOnIsNotTurnedAwayUntried() {
         Setup s = new Setup();
-        s.weight = 1;
+        s.weight = 2;
         s.held = 40;
         s.quota = 1;
         s.endpoint(1, 0);
@@ -76,7 +92,10 @@
             owed.add(m);
             s.answers.addAll(s.choice().admit(m, s.now));
         }
-        s.mail(null);
+        s.weight = 1000;
+        Destination other = new Destination(2);
+        s.list(new Endpoint(2, other, 0, 0), Listing.State.READY);
+        s.mail(other, null);
         s.turn(5);
         assertThat(s.all(Answer.Defer.class)).allMatch(defer -> !owed.contains(defer.mail()));
         assertThat(owed).allMatch(m -> !m.over && !m.overShare);
