--- a/app/src/test/java/wrenreach/app/RestartTest.java
+++ b/app/src/test/java/wrenreach/app/RestartTest.java
@@ -146,7 +146,7 @@
     @ParameterizedTest
     @CsvSource({"KILL, 1, 20000, 12000, 200, false", "TERM, 1, 20000, 12000, 200, false", "KILL, 1, 20000, 12000, 200, true",
         "KILL, 1, 20000, 12000, 12, false", "KILL, 3, 20000, 12000, 200, false", "KILL, 1, 5000, 2000, 200, false",
-        "KILL, 1, 5000, 2000, 12, false"})
+        "KILL, 1, 5000, 2000, 5, false"})
     void whatARestartFindsUntriedIsCalled(String how, int ends, long lifetimeMs, long waitMs, int weight, boolean discoveryDown)
             throws Exception {
         shutFor = waitMs;
