What a restart finds untried no longer goes before new mails; the last try stays

Likely cause, not proven by a second play: mails found untried counted as in time and inside their shares, and stood before new mails of a small tenant. That part is reverted (full, importance, share at recovery); the borrowed turn before the end stays, as it is what carried most calls, and its window has four ticks more, so that fast receivers have one.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -123,8 +123,7 @@
         if (mail.endsBy - now < kind.targetDelay()) {
             mail.dueBy = mail.endsBy;
         }
-        // What an earlier process took on was judged at its door and counted against its share there.
-        mail.overShare = !mail.owed && overShare(mail, now);
+        mail.overShare = overShare(mail, now);
         if (mail.key != null && kind.inOrder()) {
             mail.key.mails.addLast(mail);
         }
@@ -134,6 +133,7 @@
             r.mails++;
         }
         if (mail.owed) {
+            // What an earlier process took on was judged at its door.
             return take();
         }
         long wait = expectedWait(mail.to, ahead(mail, now), now);
@@ -358,28 +358,25 @@
     }
 
     private boolean full(Mail m, long now) {
-        return !m.overShare && (owedTry(m) || now + usualOf(m.to) <= m.dueBy);
+        return !m.overShare && now + usualOf(m.to) <= m.dueBy;
     }
 
-    /**
-     * Whether an earlier process took the mail on and never tried it. Guards against giving most of those up untried where a
-     * receiver takes less than comes: late at a restart, they would all stand behind what comes new. So they count as in
-     * time for their first try. Harm: new mails are late in their place.
-     */
+    /** Whether an earlier process took the mail on and never tried it. */
     private static boolean owedTry(Mail m) {
         return m.owed && m.connects.isEmpty();
     }
 
     /**
-     * Whether such a mail goes now or never: then it borrows a turn from those that come. Guards the same where what may be
-     * sent until its end is less than what was found. Harm: a call that the receiver may refuse.
+     * Whether such a mail goes now or never: then it borrows a turn from those that come. Guards against giving most of them
+     * up untried where a receiver takes less than comes: late at a restart, all stand behind what comes new. Harm: a call
+     * that the receiver may refuse.
      */
     private boolean lastTry(Mail m, Route r, long now) {
         return owedTry(m) && !r.cold && r.toldUntil <= now && now >= lastTryAt(m);
     }
 
     private long lastTryAt(Mail m) {
-        return m.endsBy - LAST_TRY * usualOf(m.to) - late;
+        return m.endsBy - LAST_TRY * usualOf(m.to) - 4 * tick - late;
     }
 
     /**
@@ -388,7 +385,7 @@
      */
     private double importance(Mail m, long now) {
         Settings.QueueClass kind = classOf(m);
-        double late = owedTry(m) ? 0 : now + usualOf(m.to) - m.dueBy;
+        double late = now + usualOf(m.to) - m.dueBy;
         double delay = kind.targetDelay();
         double left = late <= 0 ? 1 : kind.byHalf() ? Math.max(kind.lateShare(), Math.pow(0.5, late / delay))
                 : 1 - (1 - kind.lateShare()) * Math.min(1, late / Math.max(delay, kind.lifetime() - delay));
