A node that can't go on ends: exit 1, one line, the state folder as it was

Cause: Netty's loop logs what a task throws and goes on, says nothing of what a delayed task throws, and a throw in a handler closes one connection. So memory that ran out while recovering left a process that served nobody, and one in the middle of a decision a mail that the module never heard of and the client held for taken. Change: LoopFailures hands the node what tasks throw and the loop's own end; DeliveryNode.failed says one line (why, what to do), writes nothing more and ends with 1. Not ExitOnOutOfMemoryError: it ends with 3 and no line of ours.

--- a/app/src/main/java/wrenreach/app/Serve.java
+++ b/app/src/main/java/wrenreach/app/Serve.java
@@ -20,6 +20,7 @@
 import wrenreach.log.LogEvent;
 import wrenreach.node.Config;
 import wrenreach.node.DeliveryNode;
+import wrenreach.node.Failure;
 import wrenreach.node.Reload;
 import wrenreach.operator.OperatorFile;
 import wrenreach.watch.FileWatch;
@@ -67,6 +68,12 @@
         } catch (Config.Unusable | OperatorFile.Unusable | Subsystem.CantStart e) {
             e.getMessage().lines().forEach(line -> err.println("wrenreach: " + line));
             return 2;
+        } catch (OutOfMemoryError e) {
+            // Guards against a start that ends in the middle of its reading: what was read is garbage by now.
+            err.println("wrenreach: " + Failure.outOfMemory(e) + ", the config " + file.toFile().length() / 1000 + " KB, the journal "
+                    + state.resolve("journal").toFile().length() / 1000 + " KB: give it more memory (-Xmx in deploy/serve.options) or less"
+                    + " to hold");
+            return 1;
         } finally {
             if (json != null) {
                 json.close();
--- a/node/src/main/java/wrenreach/net/Sockets.java
+++ b/node/src/main/java/wrenreach/net/Sockets.java
@@ -3,9 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannel;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.function.LongSupplier;
@@ -16,9 +14,8 @@
  */
 public record Sockets(EventLoopGroup group, ChannelFactory<? extends ServerChannel> listening,
                       ChannelFactory<? extends Channel> connecting, LongSupplier wallMillis) {
-    /** The machine's sockets and clocks. */
-    public static Sockets real() {
-        return new Sockets(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()), NioServerSocketChannel::new,
-                NioSocketChannel::new, System::currentTimeMillis);
+    /** The machine's sockets and clocks; failures: told what the loop's tasks throw. */
+    public static Sockets real(LoopFailures failures) {
+        return new Sockets(failures.group(), NioServerSocketChannel::new, NioSocketChannel::new, System::currentTimeMillis);
     }
 }
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -37,6 +37,7 @@
 import wrenreach.net.Due;
 import wrenreach.net.KnownList;
 import wrenreach.net.ListLine;
+import wrenreach.net.LoopFailures;
 import wrenreach.net.Notices;
 import wrenreach.net.Reply;
 import wrenreach.net.Request;
@@ -64,6 +65,8 @@
     private static final int RECOVERS = 8;
     /** Zones that the settings don't name and that are told apart: guards memory against lists that always bring new ones. */
     private static final int OTHER_ZONES = 64;
+    /** Bytes that the last line of a node that runs out of memory takes, and a margin. */
+    private static final int RESERVE = 32 * 1024;
     /** How long one line on refusals for disk stands for those that follow. */
     private static final long QUIET = 10_000_000;
 
@@ -104,6 +107,8 @@
     private long endpointsSeen;
     private boolean doorOpen;
     private boolean stopsAfterTurn;
+    /** Given back when memory runs out, so that the last line can be said. */
+    private byte[] reserve = new byte[RESERVE];
     /** Of the mails found at the start that were never tried: how many are left, were called, were given up. */
     private int untried, called, givenUp;
     private boolean sending = true;
@@ -114,7 +119,12 @@
 
     /** A node on the machine's sockets; nothing is done before {@link #start}. */
     public DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module) {
-        this(config, journal, module, Sockets.real());
+        this(config, journal, module, new LoopFailures());
+    }
+
+    private DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module, LoopFailures failures) {
+        this(config, journal, module, Sockets.real(failures));
+        failures.to(thrown -> failed("node.failed", thrown));
     }
 
     /** A node on other sockets and clocks; the group's loop owns it. */
@@ -333,10 +343,9 @@
             }
             writing = true;
             lasts = journal.write(this::written);
-        } catch (IOException | RuntimeException e) {
-            // Guards what is owed: a node that can't record or decide stops, and the journal keeps the rest.
-            LogEvent.tell(LOG, Level.ERROR, e, "turn.failed", "turn failed, the node stops");
-            finish(1);
+        } catch (IOException | RuntimeException | Error e) {
+            // Guards what is owed: a node that can't record or decide ends, and the journal keeps the rest.
+            failed("turn.failed", e);
             return;
         }
         if (lasts) {
@@ -454,17 +463,25 @@
     // ---- Clients ----
 
     @Override public void asked(Door.Asked asked) {
+        told(() -> answer(asked));
+    }
+
+    private void answer(Door.Asked asked) {
         turn();
         if (asked.request instanceof Request.Ping) {
             asked.answer(new Reply.Pong());
         } else if (asked.request instanceof Request.Unreadable unreadable) {
             asked.answer(new Reply.Error(unreadable.why(), unreadable.close()));
         } else if (asked.request instanceof Request.HandIn handIn) {
-            handIn(handIn.submission(), handIn.lifetimeMs(), asked);
+            judge(handIn.submission(), handIn.lifetimeMs(), asked);
         }
     }
 
     @Override public void handIn(Submission s, long lifetimeMs, Asker asked) {
+        told(() -> judge(s, lifetimeMs, asked));
+    }
+
+    private void judge(Submission s, long lifetimeMs, Asker asked) {
         turn();
         String wrong = held.objection(s);
         if (wrong != null) {
@@ -550,6 +567,10 @@
     }
 
     @Override public void ended(HeldMail mail, Connect connect, Outcome outcome, double[] report, boolean over) {
+        told(() -> conclude(mail, connect, outcome, report, over));
+    }
+
+    private void conclude(HeldMail mail, Connect connect, Outcome outcome, double[] report, boolean over) {
         turn();
         if (subsystems.hears()) {
             subsystems.happened(new NodeEvent.ConnectEnded(mail.submission.id(), connect.number,
@@ -570,17 +591,34 @@
     }
 
     private void heard(HeldMail mail) {
-        turn();
-        forget(mail);
+        told(() -> {
+            turn();
+            forget(mail);
+        });
+    }
+
+    /** Guards mails against a decision broken off in the middle: by itself that only closes the connection that brought it. */
+    private void told(Runnable news) {
+        try {
+            news.run();
+        } catch (RuntimeException | Error e) {
+            failed("turn.failed", e);
+            throw e;
+        }
     }
 
     // ---- The list ----
 
     @Override public void discovered(ListLine line) {
         turn();
-        known.take(line, Addresses.text(discovery.address()));
-        keepsList = true;
-        listed(subsystems.discovered(line, now));
+        try {
+            known.take(line, Addresses.text(discovery.address()));
+            keepsList = true;
+            listed(subsystems.discovered(line, now));
+        } catch (Error e) {
+            failed("turn.failed", e);
+            throw e;
+        }
     }
 
     @Override public void listed(ListLine line) {
@@ -728,4 +766,28 @@
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
         stopped.complete(code);
     }
+
+    /**
+     * Ends the node where it can't go on: exit code 1, one line, and nothing more is written, as after a kill. Guards against a
+     * process that stays and serves nobody, and the state folder against a state that is half worked out.
+     */
+    private void failed(String event, Throwable thrown) {
+        if (phase == Phase.STOPPED) {
+            return;
+        }
+        phase = Phase.STOPPED;
+        reserve = null;
+        try {
+            LogEvent.tell(LOG, Level.ERROR, event, "the node ends: {why}; what it owes stays in the state folder: {do}",
+                    "why", Failure.why(thrown, listed.size(), held.size()), "do", Failure.toDo(thrown));
+            discovery.stop();
+            journal.close();
+        } catch (IOException | RuntimeException | Error again) {
+            // What could not be told or closed is over with the process.
+            thrown.addSuppressed(again);
+        } finally {
+            stopped.complete(1);
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
 }
