Told: once discovery works a drain is heeded within 5 s, over each way a call can fail

By reading: the last call that failed may take the whole silence (3.5 s), the pause after it was up to 2 s: 5.5 s of 6. Change: the longest pause is 1.5 s, so the sum is 5 s.

--- a/node/src/main/java/wrenreach/net/Discovery.java
+++ b/node/src/main/java/wrenreach/net/Discovery.java
@@ -52,9 +52,10 @@
     public record Patience(long silence, long firstPause, long longestPause) {
         /**
          * A watch says something every 2 s. What a silent one misses counts as told 6 s after it fell silent: this leaves
-         * time for a second one that is silent from the start, and a third.
+         * time for a second one that is silent from the start, and a third. What discovery has when it works again counts as
+         * told 6 s later: the last call that failed may take the whole silence, and the pause after it leaves a second.
          */
-        public static final Patience OF_NODES = new Patience(3500, 250, 2000);
+        public static final Patience OF_NODES = new Patience(3500, 250, 1500);
     }
 
     /** What discovery reports. */
