Cold receivers over the fleet: the sum of all nodes stays under N + 2 x root of N + 2

Causes: a cold route was taken to be warm after 0.7 of Cold while its pace has the whole OverloadFactor in it; a sparse node's share is 1, so its part was bounded by its own few mails only; a sparse node sees one failure and went on as warm. Change: WARMS is gone; UNEVEN, 2.5 even parts at sparse nodes; the first failure paces a cold route at sparse nodes.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -42,8 +42,8 @@
     // Where reports tell the allowance: the share that a node starts from, in parts; how fast, in powers a
     // target delay, it follows what is left, and what is left where it stays.
     private static final double RUSH = 1.5, STEER = 4, MIDDLE = 0.5, STALE = 0.3;
-    // A cold route is taken to be warm after this part of Cold: OverloadFactor covers the difference.
-    private static final double WARMS = 0.7;
+    // What a busy node of a sparse fleet may send to a cold route, in even parts: the idle ones leave theirs.
+    private static final double UNEVEN = 2.5;
     // Usual times for which each of ROOMY nodes, longer of fewer, keeps a connection: an endpoint takes a few
     // for each call that it serves.
     private static final double KEEP = 2, KEEP_NEW = 10;
@@ -729,11 +729,12 @@
             r.cold = false;
         }
         if (r.cold) {
-            double warm = r.warmsFrom == NEVER ? 0 : (double) (now - r.warmsFrom) / (WARMS * coldFor);
+            double warm = r.warmsFrom == NEVER ? 0 : (double) (now - r.warmsFrom) / coldFor;
             double can = limit(r) * (coldFrom + (1 - coldFrom) * warm);
             // Not more than the even part or the share that fulls have left: parts add up to the traffic, and
             // a returning receiver would get all of it.
-            pace = Math.min(pace, overload * can * Math.min(part(r, now), Math.max(1.0 / nodes, r.share)));
+            double most = sparse(r) < 1 ? Math.max(1.0 / nodes, r.share) : UNEVEN / nodes;
+            pace = Math.min(pace, overload * can * Math.min(part(r, now), most));
         }
         return pace;
     }
@@ -907,8 +908,9 @@
             b.failedRun++;
             pause(r, 0, false, now);
             // Guards a route among siblings against many nodes that fail there once: others can be tried,
-            // so the first failure with no relay of late paces it as cold. Harm: a stray one does so too.
-            boolean spare = c.endpoint.to.routes.size() > 1 && now - r.relayedAt > target;
+            // so the first failure with no relay of late paces it as cold; so where a node is sparse, as many
+            // see but one. Harm: a stray one does so too.
+            boolean spare = (c.endpoint.to.routes.size() > 1 || sparse(r) >= 1) && now - r.relayedAt > target;
             if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
