--- /dev/null
+++ b/app/src/test/java/wrenreach/app/DescriptorsTest.java
@@ -0,0 +1,155 @@
+package wrenreach.app;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A whole process whose descriptors a crowd of idle clients would fill while discovery is down. */
+class DescriptorsTest {
+    private static final int DESCRIPTORS = 300, CROWD = 800;
+    @TempDir Path folder;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final List<Socket> crowd = new ArrayList<>();
+    private Process node;
+    private HttpServer discovery;
+
+    @AfterEach void close() throws Exception {
+        for (Socket one : crowd) {
+            one.close();
+        }
+        if (node != null) {
+            node.destroyForcibly().waitFor();
+        }
+        if (discovery != null) {
+            discovery.stop(0);
+        }
+        threads.shutdownNow();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    private long descriptors() throws IOException {
+        try (Stream<Path> all = Files.list(Path.of("/proc", Long.toString(node.pid()), "fd"))) {
+            return all.count();
+        }
+    }
+
+    private static boolean pongs(int door) {
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), door)) {
+            client.setSoTimeout(20_000);
+            client.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
+            return client.getInputStream().read() == '+';
+        } catch (IOException e) {
+            return false; // It does not listen yet, or has shut this one unread.
+        }
+    }
+
+    /** The reserve that no client can take: discovery is heard again, a mail goes out, and who was shut unread comes back. */
+    @Test void aCrowdOfIdleClientsLeavesDescriptorsForAllElse() throws Exception {
+        int door = freePort(), agent = freePort();
+        Path config = Files.writeString(folder.resolve("config.json"), Files.readString(Path.of("deploy/sample.json"))
+                .replace("127.0.0.1:9", "127.0.0.1:" + agent).replace("127.0.0.1:0", "127.0.0.1:" + door)
+                .replace("\"sockets\": 512", "\"sockets\": " + DESCRIPTORS));
+        node = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "wrenreach.app.Launch", "serve", "--config",
+                config.toString(), "--state", folder.resolve("state").toString())
+                .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        for (int i = 0; i < 2000 && !pongs(door); i++) {
+            Thread.sleep(10);
+        }
+        // Files of the machine's own (libraries, archives) are no descriptors of the node's limit.
+        long before = descriptors();
+        AtomicInteger most = new AtomicInteger();
+        AtomicBoolean over = new AtomicBoolean();
+        threads.execute(() -> {
+            while (!over.get()) {
+                try {
+                    most.accumulateAndGet((int) descriptors(), Math::max);
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        });
+        for (int i = 0; i < CROWD; i++) {
+            idle(door, i % 2 == 0);
+        }
+        LinkedBlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        LinkedBlockingQueue<String> called = new LinkedBlockingQueue<>();
+        discovery = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), agent), 50);
+        discovery.setExecutor(threads);
+        discovery.createContext("/api/targets", exchange -> {
+            asked.add(exchange.getRequestURI().toString());
+            exchange.sendResponseHeaders(200, 0);
+            exchange.getResponseBody().write(("{\"index\":1,\"snapshot\":true,\"endpoints\":[{\"name\":\"receiver-1\",\"address\":\"127.0.0.1:"
+                    + agent + "\",\"zone\":\"home\",\"type\":\"small\",\"group\":1,\"status\":\"SERVING\",\"weight\":10}]}\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            exchange.getResponseBody().flush(); // A watch stays open.
+        });
+        discovery.createContext("/events", exchange -> {
+            called.add(exchange.getRequestHeaders().getFirst("X-Call-Id"));
+            exchange.getRequestBody().readAllBytes();
+            exchange.sendResponseHeaders(200, -1);
+            exchange.close();
+        });
+        discovery.start();
+        for (int i = 0; i < CROWD / 2; i++) {
+            idle(door, true); // The crowd goes on.
+        }
+        assertThat(asked.poll(20, TimeUnit.SECONDS)).as("discovery is asked again").isNotNull();
+        boolean taken = false;
+        for (int i = 0; i < 2000 && !taken; i++) {
+            taken = handIn(door);
+        }
+        assertThat(taken).as("who was shut unread comes back").isTrue();
+        assertThat(called.poll(20, TimeUnit.SECONDS)).as("its mail goes out").isEqualTo("m1");
+        over.set(true);
+        System.out.println("descriptors: " + before + " at rest, at most " + most.get() + " of " + DESCRIPTORS);
+        assertThat(most.get()).isLessThanOrEqualTo(DESCRIPTORS);
+        assertThat(Files.readString(folder.resolve("log"))).doesNotContain("Too many open files");
+    }
+
+    /** One more of the crowd; one that has asked once is not counted among those that never did, who have half of the room. */
+    private void idle(int door, boolean asksOnce) throws IOException {
+        Socket one = new Socket(InetAddress.getLoopbackAddress(), door);
+        crowd.add(one);
+        if (asksOnce) {
+            one.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    private static boolean handIn(int door) throws InterruptedException {
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), door)) {
+            client.setSoTimeout(20_000);
+            client.getOutputStream().write(("*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nm1\r\n$35\r\nc=order,t=shop,d=15000,k=k-1,dest=1\r\n"
+                    + "$5\r\nhello\r\n").getBytes(StandardCharsets.US_ASCII));
+            return client.getInputStream().read() == '+';
+        } catch (IOException e) {
+            Thread.sleep(10);
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/app/src/test/java/wrenreach/app/WindowTest.java
@@ -0,0 +1,181 @@
+package wrenreach.app;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Whole processes, killed with a call out, and a window for repeats that is over when the next process is there. */
+class WindowTest {
+    /** Right behind what the kill comes. */
+    enum Behind { TAKEN, LAST_BYTE, ANSWER }
+
+    private static final Pattern NOTICE = Pattern.compile("\"id\":\"(\\w+)\",\"status\":\"(\\w+)\"");
+    private static final long WINDOW_MS = 1000;
+    @TempDir Path folder;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    private final CountDownLatch killed = new CountDownLatch(1);
+    private volatile Behind behind;
+    private HttpServer outside;
+    private int door;
+    private Process node;
+
+    @BeforeEach void listen() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            door = free.getLocalPort();
+        }
+        outside = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        outside.setExecutor(threads);
+        outside.createContext("/events", exchange -> {
+            exchange.getRequestBody().readAllBytes();
+            String id = exchange.getRequestHeaders().getFirst("X-Call-Id");
+            if (behind == Behind.LAST_BYTE && id.equals("m1")) {
+                end(id);
+            }
+            exchange.sendResponseHeaders(200, -1);
+            exchange.close();
+            if (behind == Behind.ANSWER && id.equals("m1")) {
+                end(id);
+            } else if (behind == Behind.TAKEN || !id.equals("m1")) {
+                calls.add(id);
+            }
+        });
+        outside.createContext("/v2/finals", exchange -> {
+            Matcher ids = NOTICE.matcher(new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.US_ASCII));
+            while (ids.find()) {
+                notices.add(ids.group(1) + " " + ids.group(2));
+            }
+            exchange.sendResponseHeaders(204, -1);
+            exchange.close();
+        });
+        outside.createContext("/api/targets", exchange -> {
+            exchange.sendResponseHeaders(200, 0);
+            exchange.getResponseBody().write("{\"index\":0,\"snapshot\":false,\"endpoints\":[]}\n".getBytes(StandardCharsets.US_ASCII));
+            exchange.getResponseBody().flush(); // A watch stays open.
+        });
+        outside.start();
+    }
+
+    /** Kills the process with the first call of the mail out; a later one is only counted. */
+    private void end(String id) {
+        calls.add(id);
+        if (killed.getCount() > 0) {
+            try {
+                node.destroyForcibly().waitFor();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            killed.countDown();
+        }
+    }
+
+    @AfterEach void close() throws InterruptedException {
+        if (node != null) {
+            node.destroyForcibly().waitFor();
+        }
+        outside.stop(0);
+        threads.shutdownNow();
+    }
+
+    private void start(String effect) throws Exception {
+        String json = Files.readString(Path.of("deploy/sample.json")).replace("127.0.0.1:9", "127.0.0.1:" + outside.getAddress().getPort())
+                .replace("127.0.0.1:0", "127.0.0.1:" + door).replace("\"weight\": 10", "\"weight\": 200")
+                .replace("\"Window\": 5", "\"Window\": " + WINDOW_MS / 1000).replace("\"Effect\": \"token\"", "\"Effect\": \"" + effect + "\"");
+        Path config = Files.writeString(folder.resolve("config.json"), json);
+        node = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "wrenreach.app.Launch", "serve", "--config",
+                config.toString(), "--state", folder.resolve("state").toString())
+                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
+        for (int i = 0; i < 2000; i++) {
+            if (ask("PING\r\n") == '+') {
+                return;
+            }
+            Thread.sleep(10);
+        }
+        throw new AssertionError("does not serve: " + Files.readString(folder.resolve("log")));
+    }
+
+    /** The first byte of the answer; -1: it does not listen, or closed the connection. */
+    private int ask(String request) {
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), door)) {
+            client.setSoTimeout(20_000);
+            client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            int first = client.getInputStream().read();
+            if (first == '+' && behind == Behind.TAKEN && request.contains("m1")) {
+                node.destroyForcibly().waitFor();
+                killed.countDown();
+            }
+            return first;
+        } catch (IOException e) {
+            return -1;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return -1;
+        }
+    }
+
+    private int handIn(String id) {
+        return ask("*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\n" + id + "\r\n$35\r\nc=order,t=shop,d=15000,k=k-" + id.charAt(1)
+                + ",dest=1\r\n$5\r\nhello\r\n");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"TAKEN, token", "LAST_BYTE, token", "ANSWER, token", "TAKEN, side_effect", "LAST_BYTE, side_effect",
+        "ANSWER, side_effect"})
+    void whatWasOutAtTheKillIsNotSentAgainAndEndsTruly(Behind what, String effect) throws Exception {
+        behind = what;
+        start(effect);
+        handIn("m1");
+        assertThat(killed.await(20, TimeUnit.SECONDS)).isTrue();
+        Thread.sleep(2 * WINDOW_MS); // The window is over; a later start only is later still.
+        start(effect);
+        assertThat(handIn("m2")).isEqualTo('+');
+        String id = calls.poll(20, TimeUnit.SECONDS);
+        int first = 0;
+        for (; id != null && !id.equals("m2"); id = calls.poll(20, TimeUnit.SECONDS)) {
+            first++;
+        }
+        assertThat(id).as("the next mail is called: the node serves").isEqualTo("m2");
+        String notice = first == 1 && what == Behind.TAKEN ? notices.poll(500, TimeUnit.MILLISECONDS) : notices.poll(20, TimeUnit.SECONDS);
+        if (what == Behind.TAKEN && first == 0 && notice == null) {
+            first += "m1".equals(calls.poll(20, TimeUnit.SECONDS)) ? 1 : 0;
+        }
+        String more = calls.poll(500, TimeUnit.MILLISECONDS);
+        System.out.println(what + " " + effect + ": " + first + " calls of the mail, notice " + notice);
+        assertThat(more).as("a call more").isNull();
+        if (what == Behind.TAKEN) {
+            // It was called once, by one process or the other, or its end is told.
+            assertThat(first == 1 || notice != null).isTrue();
+        } else {
+            assertThat(first).isEqualTo(1);
+        }
+        if (notice != null) {
+            assertThat(notice).as("it may have run: not harmless to hand in again").isEqualTo("m1 undeliverable");
+        }
+        if (what == Behind.LAST_BYTE) {
+            assertThat(notice).isEqualTo("m1 undeliverable");
+        }
+    }
+}
