bench/capacity.sh and docs/CAPACITY.md: slopes of the size to come, page worked out from them

Need: the plan of 650 nodes and 310,000 destinations decides the design from now on. One command measures lists of five lengths, mails held and hollow fleets of up to 650 nodes, on builds side by side; plots; and writes the page's figures, which CapacityTest compares with the committed measurements. A small size of the rig runs as a test. Left out, by name on the page: two endpoints each, traffic, 1.3% down, many nodes on one discovery, the store, failures emulated.

--- /dev/null
+++ b/bench/src/main/java/wrenreach/bench/capacity/ListSlopes.java
@@ -0,0 +1,246 @@
+package wrenreach.bench.capacity;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/** What a list of so many destinations of one endpoint each costs a delivery node: real processes, options as shipped. */
+final class ListSlopes {
+    private static final int PATIENCE_S = 30, IN_FORCE_S = 12;
+
+    private final SizeFile size;
+    private final String build;
+    private final Path checkout;
+    private final Path folder;
+    private final Consumer<Measurement> taker;
+
+    ListSlopes(SizeFile size, String build, Path checkout, Path folder, Consumer<Measurement> taker) {
+        this.size = size;
+        this.build = build;
+        this.checkout = checkout;
+        this.folder = folder;
+        this.taker = taker;
+    }
+
+    void measure(int count) throws IOException, InterruptedException {
+        fromTheConfig(count);
+        fromDiscovery(count);
+    }
+
+    private void say(String slope, long at, double value, String unit, String note) {
+        taker.accept(new Measurement(build, slope, at, value, unit, note));
+    }
+
+    /** Nobody listens there: loopback, whatever is called. */
+    private static String endpoint(int number) {
+        return String.format(Locale.ROOT, "{\"name\":\"endpoint-%d\",\"address\":\"127.%d.%d.%d:9\",\"zone\":\"home\","
+                + "\"type\":\"small\",\"group\":%d,\"status\":\"SERVING\",\"weight\":10,\"since_ms\":0}", number,
+                1 + (number >> 16), number >> 8 & 255, number & 255, number);
+    }
+
+    private static void list(Appendable to, long index, int from, int until, boolean whole) throws IOException {
+        to.append("{\"index\":").append(Long.toString(index)).append(",\"snapshot\":").append(Boolean.toString(whole))
+                .append(",\"endpoints\":[");
+        for (int i = from; i < until; i++) {
+            to.append(i == from ? "" : ",").append(endpoint(i));
+        }
+        to.append("]}");
+    }
+
+    private static byte[] line(long index, int from, int until, boolean whole) throws IOException {
+        StringBuilder text = new StringBuilder();
+        list(text, index, from, until, whole);
+        return text.append('\n').toString().getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private Path config(int known, int agent) throws IOException {
+        String sample = Files.readString(Path.of("deploy/sample.json"));
+        int a = sample.indexOf("\"known\":"), b = sample.indexOf("\"settings\":");
+        StringBuilder text = new StringBuilder(sample.substring(0, a)).append("\"known\": ");
+        list(text, 0, 1, known + 1, true);
+        text.append(",\n  ").append(sample.substring(b));
+        return Files.writeString(folder.resolve("config.json"), text.toString().replace("127.0.0.1:9\",\n  \"seed", "127.0.0.1:" + agent
+                + "\",\n  \"seed").replace("\"memory_mb\": 192", "\"memory_mb\": " + size.count("memory_mb"))
+                .replace("\"disk_mb\": 2}", "\"disk_mb\": " + size.count("disk_mb") + "}"));
+    }
+
+    private Path state() throws IOException {
+        Path state = folder.resolve("state");
+        if (Files.exists(state)) {
+            try (Stream<Path> all = Files.walk(state)) {
+                for (Path one : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(one);
+                }
+            }
+        }
+        return state;
+    }
+
+    /** Start, memory and idle processor time with the list in the config. */
+    private void fromTheConfig(int count) throws IOException, InterruptedException {
+        try (Agent agent = new Agent();
+                NodeProcess node = new NodeProcess(checkout, config(count, agent.port()), state(), folder.resolve("log"))) {
+            double seconds = node.serves(PATIENCE_S);
+            String why = Double.isNaN(seconds) ? node.alive() ? "the process stays and serves nobody" : "exit " + node.exitCode() : "";
+            say("config.start", count, seconds, "s", why);
+            if (Double.isNaN(seconds)) {
+                return;
+            }
+            say("config.start.cpu", count, node.processorSeconds(), "s", "");
+            say("config.resident", count, node.residentBytes(), "bytes", "");
+            say("config.live", count, node.liveBytes(), "bytes", "");
+            double before = node.processorSeconds();
+            int idle = size.count("idle_seconds");
+            Thread.sleep(1000L * idle);
+            say("config.idle", count, (node.processorSeconds() - before) / idle, "cores", "");
+        }
+    }
+
+    /** A whole list told on the watch, changes of one endpoint, and a restart from what is kept. */
+    private void fromDiscovery(int count) throws IOException, InterruptedException {
+        Path state = state();
+        int fresh = count + 1;
+        byte[] whole = line(2, 1, count + 1, true);
+        say("list.bytes", count, whole.length, "bytes", "");
+        boolean inForce;
+        try (Agent agent = new Agent();
+                NodeProcess node = new NodeProcess(checkout, config(1, agent.port()), state, folder.resolve("log"))) {
+            agent.whole(line(1, 1, 2, true));
+            if (Double.isNaN(node.serves(PATIENCE_S)) || !watched(agent)) {
+                say("list.inforce", count, Double.NaN, "s", "no watch");
+                return;
+            }
+            Thread.sleep(300);
+            agent.whole(whole);
+            double before = node.processorSeconds();
+            long from = System.nanoTime();
+            double longest;
+            double seconds;
+            try (Pings pings = new Pings(node)) {
+                agent.tell(whole);
+                seconds = inForce(node, count, from, "w");
+                longest = pings.longest();
+            }
+            inForce = !Double.isNaN(seconds);
+            say("list.inforce", count, seconds, "s", inForce ? "" : "not in " + IN_FORCE_S + " s; asked " + agent.asked() + " times");
+            say("list.cpu", count, inForce ? node.processorSeconds() - before : Double.NaN, "s", "");
+            say("list.longest", count, inForce ? 1000 * longest : Double.NaN, "ms", inForce ? "longest time until a PING is answered"
+                    : "the list was not taken");
+            if (!inForce) {
+                return;
+            }
+            Thread.sleep(2500);
+            say("list.live", count, node.liveBytes(), "bytes", "");
+            say("list.resident", count, node.residentBytes(), "bytes", "");
+            int changes = size.count("changes");
+            double[] times = new double[changes];
+            for (int i = 0; i < changes; i++) {
+                from = System.nanoTime();
+                agent.tell(line(3 + i, fresh + i, fresh + i + 1, false));
+                times[i] = inForce(node, fresh + i, from, "c");
+            }
+            java.util.Arrays.sort(times);
+            say("change.inforce", count, 1000 * times[changes / 2], "ms", "median of " + changes + "; largest "
+                    + String.format(Locale.ROOT, "%.1f", 1000 * times[changes - 1]));
+            // Without anybody asking between them, which costs more than they do.
+            int many = 10 * changes;
+            before = node.processorSeconds();
+            for (int i = changes; i < changes + many; i++) {
+                agent.tell(line(3 + i, fresh + i, fresh + i + 1, false));
+                Thread.sleep(5);
+            }
+            boolean last = !Double.isNaN(inForce(node, fresh + changes + many - 1, System.nanoTime(), "l"));
+            say("change.cpu", count, last ? 1000 * (node.processorSeconds() - before) / many : Double.NaN, "ms", "mean of " + many);
+        }
+        restart(count, fresh, state);
+    }
+
+    /** With discovery gone: all that the next process knows is what was kept. */
+    private void restart(int count, int fresh, Path state) throws IOException, InterruptedException {
+        try (Stream<Path> files = Files.list(state)) {
+            say("kept.bytes", count, files.filter(f -> f.getFileName().toString().startsWith("list")).mapToLong(f -> f.toFile().length())
+                    .sum(), "bytes", "");
+        }
+        int gone;
+        try (Agent agent = new Agent()) {
+            gone = agent.port();
+        }
+        try (NodeProcess node = new NodeProcess(checkout, config(1, gone), state, folder.resolve("log"))) {
+            double seconds = node.serves(PATIENCE_S);
+            boolean known = !Double.isNaN(seconds) && node.knows(count, "r1") && node.knows(fresh, "r2");
+            say("restart.start", count, known ? seconds : Double.NaN, "s", known ? "" : "what was told is not known any more");
+        }
+    }
+
+    private static boolean watched(Agent agent) throws InterruptedException {
+        for (int i = 0; i < 500 && agent.watching() == 0; i++) {
+            Thread.sleep(10);
+        }
+        return agent.watching() > 0;
+    }
+
+    /** Seconds until the node knows the destination; NaN: not in time. */
+    private static double inForce(NodeProcess node, int destination, long from, String id) throws IOException, InterruptedException {
+        for (int i = 0; System.nanoTime() - from < IN_FORCE_S * 1_000_000_000L && node.alive(); i++) {
+            try {
+                if (node.knows(destination, id + destination + "-" + i)) {
+                    return (System.nanoTime() - from) / 1e9;
+                }
+            } catch (IOException e) {
+                Thread.sleep(5);
+            }
+            Thread.sleep(2);
+        }
+        return Double.NaN;
+    }
+
+    /** One client that asks PING after PING: the longest answer bounds the longest turn from above. */
+    private static final class Pings implements AutoCloseable {
+        private final AtomicBoolean over = new AtomicBoolean();
+        private final AtomicLong longest = new AtomicLong();
+        private final Thread thread;
+
+        Pings(NodeProcess node) throws IOException {
+            Socket socket = node.open();
+            thread = new Thread(() -> {
+                try (socket; OutputStream out = socket.getOutputStream()) {
+                    while (!over.get()) {
+                        long from = System.nanoTime();
+                        NodeProcess.ask(socket, "PING\r\n");
+                        longest.accumulateAndGet(System.nanoTime() - from, Math::max);
+                        Thread.sleep(1);
+                    }
+                } catch (IOException e) {
+                    longest.set(Long.MAX_VALUE);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "pings");
+            thread.start();
+        }
+
+        double longest() {
+            return longest.get() / 1e9;
+        }
+
+        @Override public void close() throws InterruptedException {
+            over.set(true);
+            thread.join(30_000);
+        }
+    }
+
+    /** The sizes that are measured. */
+    static List<Integer> sizes(SizeFile size) {
+        return java.util.Arrays.stream(size.counts("list_sizes")).boxed().toList();
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/wrenreach/bench/capacity/CapacityTest.java
@@ -0,0 +1,81 @@
+package wrenreach.bench.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The rig itself, at a small size, and that the page says what was measured. */
+class CapacityTest {
+    private static final Path SIZE = Path.of("bench/capacity/size.properties"), CSV = Path.of("bench/capacity/slopes.csv"),
+            PAGE = Path.of("docs/CAPACITY.md");
+
+    /** Every figure of the page is worked out from the committed measurements: whoever changes one alone is told. */
+    @Test void theFiguresOnThePageAreThoseOfTheMeasurements() throws IOException {
+        assertThat(CapacityPage.onPage(PAGE)).isEqualTo(CapacityPage.figures(new SizeFile(SIZE), Measurement.read(CSV)));
+    }
+
+    @Test void aFigureThatDiffersShows() throws IOException {
+        List<Measurement> other = new ArrayList<>(Measurement.read(CSV));
+        int at = other.indexOf(other.stream().filter(m -> m.slope().equals("list.live") && !Double.isNaN(m.value())).findFirst()
+                .orElseThrow());
+        Measurement was = other.get(at);
+        other.set(at, new Measurement(was.build(), was.slope(), was.size(), 1.1 * was.value(), was.unit(), was.note()));
+        assertThat(CapacityPage.onPage(PAGE)).isNotEqualTo(CapacityPage.figures(new SizeFile(SIZE), other));
+    }
+
+    @Test void aStraightLineIsFoundWithItsError() {
+        List<Measurement> points = new ArrayList<>();
+        double[] off = {1, -1, -1, 1};
+        for (int i = 0; i < 4; i++) {
+            points.add(new Measurement("b", "s", i + 1, 10 + 3 * (i + 1) + off[i], "u", ""));
+        }
+        points.add(new Measurement("b", "s", 9, Double.NaN, "u", "not had"));
+        Fit fit = Fit.of(points);
+        assertThat(fit.slope()).isCloseTo(3, within(1e-9));
+        assertThat(fit.base()).isCloseTo(10, within(1e-9));
+        assertThat(fit.spread()).isCloseTo(Math.sqrt(4 / 2.0 / 5), within(1e-9));
+        assertThat(fit.worst()).isCloseTo(1 / 14.0, within(1e-9));
+        assertThat(fit.points()).isEqualTo(4);
+        assertThat(Fit.of(points.subList(0, 2))).isNull();
+    }
+
+    /** Counts of the hollow fleet are the same each time, and a receiver that is down for a minute gets calls. */
+    @Test void theHollowFleetCountsTheSameTwice() {
+        List<Measurement> first = new ArrayList<>(), second = new ArrayList<>();
+        FleetSlopes.measure(7, "b", 10, first::add);
+        FleetSlopes.measure(7, "b", 10, second::add);
+        assertThat(first).isEqualTo(second).hasSize(4);
+        assertThat(first.get(0).value()).isPositive();
+        assertThat(first.get(3).value()).isPositive();
+    }
+
+    /** Real processes at a small size: each slope has its figure. */
+    @Test void theRigMeasuresASmallSize(@TempDir Path folder) throws Exception {
+        Path small = folder.resolve("small.properties");
+        Files.writeString(small, Files.readString(SIZE).replaceAll("(?m)^(list_sizes|held_sizes) = .*", "$1 = 50")
+                .replaceAll("(?m)^fleet_sizes = .*", "fleet_sizes = 2").replaceAll("(?m)^idle_seconds = .*", "idle_seconds = 1")
+                .replaceAll("(?m)^changes = .*", "changes = 2"));
+        Path jar = Path.of("target/wrenreach.jar");
+        assertThat(jar).as("bench is built after app").exists();
+        Path csv = folder.resolve("out.csv");
+        Capacity.measure(new SizeFile(small), csv, List.of("now=."));
+        List<Measurement> all = Measurement.read(csv);
+        assertThat(all).extracting(Measurement::slope).contains("config.start", "config.live", "config.idle", "list.inforce",
+                "list.longest", "change.inforce", "restart.start", "held.disk", "held.start", "down.calls", "back.most");
+        assertThat(all).allMatch(m -> !Double.isNaN(m.value()), "is had");
+    }
+
+    @Test void aSizeFileThatLacksSomethingSaysWhat(@TempDir Path folder) throws IOException {
+        Path file = Files.writeString(folder.resolve("s.properties"), "nodes = many\n");
+        assertThatThrownBy(() -> new SizeFile(file).number("nodes")).hasMessageContaining("s.properties: nodes: not a number");
+        assertThatThrownBy(() -> new SizeFile(file).count("zones")).hasMessageContaining("zones is missing");
+    }
+}
