Sparse nodes pace a route as cold from the second failure in a row, not the first

Cause: paced a sparse node's route as cold from its first failure with no relay of late; at 2.5 even parts that is a mail in half a minute and more, after any stray failure. Change: where a node is sparse, the second failure in a row. A failed mail goes again within a target delay, so a node at a receiver that is down sees two.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -918,9 +918,10 @@
             b.failedRun++;
             pause(r, 0, false, now);
             // Guards a route among siblings against many nodes that fail there once: others can be tried,
-            // so the first failure with no relay of late paces it as cold; so where a node is sparse, as many
-            // see but one. Harm: a stray one does so too.
-            boolean spare = (c.endpoint.to.routes.size() > 1 || sparse(r) >= 1) && now - r.relayedAt > target;
+            // so the first failure with no relay of late paces it as cold; where a node is sparse the second in
+            // a row, as it may not see a third. Not the first there: that pace is a mail in half a minute.
+            boolean spare = now - r.relayedAt > target && (c.endpoint.to.routes.size() > 1
+                    || sparse(r) >= 1 && b.failedRun >= SUSPECT_RUN);
             if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -788,6 +788,22 @@
         assertThat(c.mail.notBefore).isGreaterThan(s.now - 5 * Setup.MS);
     }
 
+    /** Guards the mails of a sparse node against one stray failure, and a cold receiver against nodes that see no third. */
+    @Test void theSecondFailureInARowPacesASparseNodeAsCold() {
+        s.nodes = 200;
+        s.weight = 4;
+        s.endpoint(1, 0);
+        s.end(s.send(), new Outcome.Unreached());
+        assertThat(route().cold).as("after one").isFalse();
+        Connect again = s.turn(2500).get(0);
+        s.end(again, new Outcome.Relayed());
+        s.now += 5000 * Setup.MS;
+        s.end(s.send(), new Outcome.Unreached());
+        assertThat(route().cold).as("after two with a relay between").isFalse();
+        s.end(s.turn(2500).get(0), new Outcome.Unreached());
+        assertThat(route().cold).as("after two in a row").isTrue();
+    }
+
     @Test void theFirstFailureAmongSiblingsPacesARouteAsCold() {
         s.apart = true;
         s.endpoint(1, 0);
