A node whose memory is filled to the last byte ends too: its reserve comes first

The catch that tells the failure used a text for the first time, which takes memory where the heap is filled to the last bytes; the second error went past it, and the reserve was given back only behind it. Change: the reserve is given back first, nothing before it takes memory, and it is 256 KB (it had to hold the classes of the line too); where even telling throws, the process is halted with 1.

--- a/app/src/test/java/wrenreach/app/FailingNode.java
+++ b/app/src/test/java/wrenreach/app/FailingNode.java
@@ -43,13 +43,15 @@
     private static int fail(Kind kind, List<Object> held) {
         switch (kind) {
             case MEMORY:
-                for (int size = 1 << 20; true; size = Math.max(16, size / 2)) {
+                held.add(null);
+                for (int size = 1 << 20; true; size /= 2) {
                     try {
                         while (true) {
-                            held.add(new byte[size]);
+                            // A chain: a list that can't grow any more would leave room.
+                            held.set(0, size == 0 ? new Object[] {held.get(0)} : new Object[] {held.get(0), new byte[size]});
                         }
                     } catch (OutOfMemoryError e) {
-                        if (size == 16) {
+                        if (size == 0) {
                             throw e;
                         }
                     }
--- a/node/src/main/java/wrenreach/net/LoopFailures.java
+++ b/node/src/main/java/wrenreach/net/LoopFailures.java
@@ -27,11 +27,20 @@
             try {
                 task.run();
             } catch (RuntimeException | Error e) {
-                told.accept(e);
+                tell(e);
             }
         };
     }
 
+    private void tell(Throwable thrown) {
+        try {
+            told.accept(thrown);
+        } catch (RuntimeException | Error e) {
+            // Guards against a process that has no memory left even to be told, and so stays.
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
     /** A group of one loop that tells its failures here. */
     MultiThreadIoEventLoopGroup group() {
         return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()) {
@@ -50,7 +59,7 @@
             try {
                 super.run();
             } catch (RuntimeException | Error e) {
-                told.accept(e);
+                tell(e);
                 throw e;
             }
         }
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -67,8 +67,8 @@
     private static final int RECOVERS = 8;
     /** Rows of the list that are tidied up at once, and microseconds until the next ones are. */
     private static final int SLICE = 1000, TIDY_GAP = 2000;
-    /** Bytes that the last line of a node that runs out of memory takes, and a margin. */
-    private static final int RESERVE = 32 * 1024;
+    /** Bytes that the last line of a node that runs out of memory takes, classes read for it counted, and a margin. */
+    private static final int RESERVE = 256 * 1024;
     /** Lines on breakers in that time; where more receivers fail at once, staff act on the number. */
     private static final int BREAKER_LINES = 10;
     /** How long one line on refusals for disk stands for those that follow. */
@@ -128,7 +128,7 @@
 
     private DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module, LoopFailures failures) {
         this(config, journal, module, Sockets.real(failures));
-        failures.to(thrown -> failed("node.failed", thrown));
+        failures.to(thrown -> failed(false, thrown));
     }
 
     /** A node on other sockets and clocks; the group's loop owns it. */
@@ -360,7 +360,7 @@
             lasts = journal.write(this::written);
         } catch (IOException | RuntimeException | Error e) {
             // Guards what is owed: a node that can't record or decide ends, and the journal keeps the rest.
-            failed("turn.failed", e);
+            failed(true, e);
             return;
         }
         if (lasts) {
@@ -621,7 +621,7 @@
         try {
             news.run();
         } catch (RuntimeException | Error e) {
-            failed("turn.failed", e);
+            failed(true, e);
             throw e;
         }
     }
@@ -639,7 +639,7 @@
                 try {
                     super.entry(entry);
                 } catch (Error e) {
-                    failed("turn.failed", e);
+                    failed(true, e);
                     throw e;
                 }
             }
@@ -762,16 +762,18 @@
 
     /**
      * Ends the node where it can't go on: exit code 1, one line, and nothing more is written, as after a kill. Guards against a
-     * process that stays and serves nobody, and the state folder against a state that is half worked out.
+     * process that stays and serves nobody, and the state folder against a state that is half worked out. Up to where the reserve
+     * is given back nothing may take memory, here and where it is called: also a text that is used for the first time does.
      */
-    private void failed(String event, Throwable thrown) {
+    private void failed(boolean inTurn, Throwable thrown) {
+        reserve = null;
         if (phase == Phase.STOPPED) {
             return;
         }
         phase = Phase.STOPPED;
-        reserve = null;
         try {
-            LogEvent.tell(LOG, Level.ERROR, event, "the node ends: {why}; what it owes stays in the state folder: {do}",
+            LogEvent.tell(LOG, Level.ERROR, inTurn ? "turn.failed" : "node.failed",
+                    "the node ends: {why}; what it owes stays in the state folder: {do}",
                     "why", Failure.why(thrown, told.size(), held.size()), "do", Failure.toDo(thrown));
             discovery.stop();
             journal.close();
