--- a/lab/src/main/java/wrenreach/lab/LabNode.java
+++ b/lab/src/main/java/wrenreach/lab/LabNode.java
@@ -131,7 +131,7 @@
         loop = new WireLoop(world.ticker);
         try {
             journal = store ? StoreLedger.open(state, config.diskBytes(), false, REMEMBERED, config.diskBytes() / 10,
-                    world::wallMillis, SALT) : Journal.open(state, config.diskBytes());
+                    world::wallMillis, SALT) : Journal.open(state, config.diskBytes(), world::wallMillis);
             filesBefore = files = files();
             size = sizeBefore = journal.size();
         } catch (IOException e) {
--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import wrenreach.endpoints.ListLog;
+import wrenreach.held.Ballast;
 import wrenreach.held.Ending;
 import wrenreach.held.Entry;
 import wrenreach.held.HeldMail;
--- a/node/src/main/java/wrenreach/endpoints/ListLog.java
+++ b/node/src/main/java/wrenreach/endpoints/ListLog.java
@@ -305,15 +305,30 @@
                 LogEvent.tell(LOG, Level.WARNING, "list.kept", "the list can't be kept for the next start: {why}", "why",
                         e.getMessage());
             }
-            close();
-            try {
-                Files.deleteIfExists(next);
-                Files.deleteIfExists(file);
-                Files.deleteIfExists(folder.resolve(FORM_1));
-            } catch (IOException again) {
-                // Told above; the next start takes what is newer of this and its config's list.
-                return;
-            }
+            remove();
+        }
+    }
+
+    /**
+     * Leaves its room to what is owed, where that finds none; false: it had none. The next list that is told is kept anew, as
+     * far as there is room again.
+     */
+    public boolean giveUp() {
+        boolean removed = remove();
+        if (removed && !told) {
+            told = true;
+            LogEvent.tell(LOG, Level.WARNING, "list.kept", "the list kept for the next start leaves its room to what is owed");
+        }
+        return removed;
+    }
+
+    private boolean remove() {
+        close();
+        try {
+            return Files.deleteIfExists(next) | Files.deleteIfExists(file) | Files.deleteIfExists(folder.resolve(FORM_1));
+        } catch (IOException e) {
+            // The next start takes what is newer of this and its config's list.
+            return false;
         }
     }
 
--- a/ledger/src/main/java/wrenreach/ledger/Ballast.java
+++ b/node/src/main/java/wrenreach/held/Ballast.java
@@ -1,4 +1,4 @@
-package wrenreach.ledger;
+package wrenreach.held;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -8,7 +8,7 @@
 import java.nio.file.StandardOpenOption;
 
 /** Room on the disk that is taken so that it can be let go: a file of no content. */
-final class Ballast {
+public final class Ballast {
     /** Between two tries to take it again, in microseconds. */
     private static final long LOOK = 1_000_000;
 
@@ -18,19 +18,19 @@
     private long triedAt;
 
     /** bytes: how much it takes; a disk that has no room for it now may have later. */
-    Ballast(Path file, long bytes) {
+    public Ballast(Path file, long bytes) {
         this.file = file;
         this.bytes = bytes;
         held = take();
     }
 
     /** Whether the room is there. */
-    boolean held() {
+    public boolean held() {
         return held;
     }
 
     /** Lets it go; false: it was gone already. */
-    boolean release() throws IOException {
+    public boolean release() throws IOException {
         boolean was = held && bytes > 0;
         held = false;
         Files.deleteIfExists(file);
@@ -38,7 +38,7 @@
     }
 
     /** Takes it again where it is gone and the disk has room; true: it is back. */
-    boolean restore(long now) {
+    public boolean restore(long now) {
         if (held || now - triedAt < LOOK) {
             return false;
         }
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -15,8 +15,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import wrenreach.endpoints.ListLog;
+import java.util.function.LongSupplier;
 import java.util.zip.CRC32;
+import wrenreach.endpoints.ListLog;
 import wrenreach.log.LogEvent;
 
 /**
@@ -30,12 +31,18 @@
     /** Where a store keeps what is owed, in the same folder. */
     public static final String STORE = "store";
     private static final int HEAD = 8;
-    /** Parts of the room: the old and the compacted file stand beside each other for a moment. */
-    private static final double FILE_PART = 0.55, OWED_PART = 0.4;
+    /**
+     * Parts of the room: the old and the compacted file stand beside each other for a moment. The ballast has to hold the
+     * connects and ends of what is owed for the seconds in which others fill the disk: a mail in some hundred bytes, more of
+     * it the larger the folder.
+     */
+    private static final double FILE_PART = 0.54, OWED_PART = 0.4, BALLAST_PART = 0.01;
 
     private final Path file;
     private final Path next;
     private final ListLog lists;
+    private final Ballast ballast;
+    private final LongSupplier wallMillis;
     private final long fileLimit;
     private final long owedLimit;
     private final Map<String, HeldMail> owed;
@@ -45,7 +52,7 @@
     private long size;
     private long owedBytes;
 
-    private Journal(Path folder, long limit, Map<String, HeldMail> owed, long size) throws IOException {
+    private Journal(Path folder, long limit, LongSupplier wallMillis, Map<String, HeldMail> owed, long size) throws IOException {
         file = folder.resolve(NAME);
         next = folder.resolve(NEXT);
         lists = new ListLog(folder, limit);
@@ -59,16 +66,23 @@
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         channel.truncate(size);
         channel.position(size);
+        this.wallMillis = wallMillis;
+        ballast = new Ballast(folder.resolve("ballast"), (long) (limit * BALLAST_PART));
     }
 
     /** Opens the folder's journal for writing; limit: bytes that the folder may hold. */
     public static Journal open(Path folder, long limit) throws IOException {
+        return open(folder, limit, System::currentTimeMillis);
+    }
+
+    /** The same by another clock. */
+    public static Journal open(Path folder, long limit, LongSupplier wallMillis) throws IOException {
         if (Files.exists(folder.resolve(STORE))) {
             // Guards what is owed: a node that went back to the journal would know nothing of it.
             throw new IOException(folder.resolve(STORE) + " holds what is owed: [store] has to stay on");
         }
         Map<String, HeldMail> owed = new LinkedHashMap<>();
-        return new Journal(folder, limit, owed, replay(folder.resolve(NAME), owed));
+        return new Journal(folder, limit, wallMillis, owed, replay(folder.resolve(NAME), owed));
     }
 
     /** What the folder's journal owes, in the order taken on; nothing is written. */
@@ -87,7 +101,7 @@
     }
 
     @Override public boolean fits(int bodyBytes, int before, int tries) {
-        return owedBytes + (1L + before) * (bodyBytes + (1 + tries) * 128L) <= owedLimit;
+        return ballast.held() && owedBytes + (1L + before) * (bodyBytes + (1 + tries) * 128L) <= owedLimit;
     }
 
     @Override public void taken(HeldMail held) {
@@ -139,15 +153,45 @@
 
     /** The same, for who has no turn. */
     public void write() throws IOException {
+        if (ballast.restore(1000 * wallMillis.getAsLong())) {
+            LogEvent.tell(LOG, Level.WARNING, "journal.room", "the disk has room again: mails are taken on");
+        }
         if (pending.size() == 0) {
             return;
         }
+        while (!appended()) {
+            channel.truncate(size);
+            channel.position(size);
+        }
+        pending.reset();
+    }
+
+    /**
+     * Guards what is owed on a full disk: a node that can't record ends, and again at each start, until its mails are over. So
+     * room is kept for it; and a promise is worth more than a kept list, which discovery can say again. False: there is more
+     * room now than there was.
+     */
+    private boolean appended() throws IOException {
+        try {
+            append();
+            return true;
+        } catch (IOException e) {
+            if (ballast.release()) {
+                LogEvent.tell(LOG, Level.ERROR, "journal.short",
+                        "the disk takes no more: new mails are refused, what is owed goes on: {why}", "why", e.getMessage());
+            } else if (!lists.giveUp()) {
+                throw e;
+            }
+            return false;
+        }
+    }
+
+    private void append() throws IOException {
         if (size + pending.size() > fileLimit) {
             compact();
         } else {
             size += write(channel, pending);
         }
-        pending.reset();
     }
 
     /** What is pending is part of the state that this writes. */
@@ -157,10 +201,17 @@
         owed.values().forEach(held -> entries(held).forEach(entry -> append(bytes, entry)));
         FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                 StandardOpenOption.TRUNCATE_EXISTING);
-        size = write(fresh, bytes);
-        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        int after;
+        try {
+            after = write(fresh, bytes);
+            Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            fresh.close();
+            throw e;
+        }
         channel.close();
         channel = fresh;
+        size = after;
         LogEvent.tell(LOG, Level.INFO, "journal.compacted", "journal compacted: {before} to {after} bytes, {owed} mails owed",
                 "before", before, "after", size, "owed", owed.size());
     }
