Capacity rig: traffic at 169 and 338 events a second, one and two endpoints, some down

Need: the issue asks for processor time at both rates by destinations; only lists without traffic were measured. New: TrafficSlopes (real node, GroupSize 650, each mail for a destination by chance, receivers and client on loopback), Receivers, SampleConfig (shared by the slopes). The page is not measured anew yet.

--- a/bench/src/main/java/wrenreach/bench/capacity/Agent.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/Agent.java
@@ -91,7 +91,7 @@
     }
 
     /** The next request's head; "": there is none. */
-    private static String head(InputStream in) throws IOException {
+    static String head(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int c = in.read();
@@ -103,7 +103,7 @@
         return head.toString();
     }
 
-    private static long length(String head) {
+    static long length(String head) {
         return head.lines().map(line -> line.toLowerCase(Locale.ROOT)).filter(line -> line.startsWith("content-length:"))
                 .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(':') + 1).strip())).sum();
     }
--- a/bench/src/main/java/wrenreach/bench/capacity/Capacity.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/Capacity.java
@@ -61,6 +61,9 @@
         for (int held : size.counts("held_sizes")) {
             HeldSlopes.measure(size, name(last), checkout(last), folder, held, taker);
         }
+        for (int count : size.counts("traffic_sizes")) {
+            new TrafficSlopes(size, name(last), checkout(last), folder, taker).measure(count);
+        }
         for (int nodes : size.counts("fleet_sizes")) {
             FleetSlopes.measure((long) size.number("seed"), name(last), nodes, taker);
         }
--- a/bench/src/main/java/wrenreach/bench/capacity/CapacityPage.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/CapacityPage.java
@@ -83,6 +83,18 @@
             measured("delivery node", "idle, cores", build, "config.idle", count, 1, "cores", 0.005);
         }
         String last = builds().get(builds().size() - 1);
+        for (String layout : List.of("one", "two", "down")) {
+            String which = switch (layout) {
+                case "one" -> "one endpoint each";
+                case "two" -> "two endpoints each";
+                default -> "one each, " + text(100 * size.number("down_part")) + "% down";
+            };
+            for (int rate : size.counts("traffic_rates")) {
+                measured("delivery node", rate + " events a second, " + which, last, "traffic." + layout + "." + rate, count, 1, "cores",
+                        rate <= size.number("events_per_second") / nodes ? 0.5 : 1);
+            }
+            measured("delivery node", "live heap after them, " + which, last, "traffic." + layout + ".live", count, 1e-6, "MB", 48);
+        }
         double lineBytes = value(last, "list.bytes", count);
         double rate = size.number("control_bytes_per_second");
         if (!Double.isNaN(lineBytes)) {
--- a/bench/src/main/java/wrenreach/bench/capacity/ListSlopes.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/ListSlopes.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -41,37 +40,8 @@
         taker.accept(new Measurement(build, slope, at, value, unit, note));
     }
 
-    /** Nobody listens there: loopback, whatever is called. */
-    private static String endpoint(int number) {
-        return String.format(Locale.ROOT, "{\"name\":\"endpoint-%d\",\"address\":\"127.%d.%d.%d:9\",\"zone\":\"home\","
-                + "\"type\":\"small\",\"group\":%d,\"status\":\"SERVING\",\"weight\":10,\"since_ms\":0}", number,
-                1 + (number >> 16), number >> 8 & 255, number & 255, number);
-    }
-
-    private static void list(Appendable to, long index, int from, int until, boolean whole) throws IOException {
-        to.append("{\"index\":").append(Long.toString(index)).append(",\"snapshot\":").append(Boolean.toString(whole))
-                .append(",\"endpoints\":[");
-        for (int i = from; i < until; i++) {
-            to.append(i == from ? "" : ",").append(endpoint(i));
-        }
-        to.append("]}");
-    }
-
-    private static byte[] line(long index, int from, int until, boolean whole) throws IOException {
-        StringBuilder text = new StringBuilder();
-        list(text, index, from, until, whole);
-        return text.append('\n').toString().getBytes(StandardCharsets.US_ASCII);
-    }
-
     private Path config(int known, int agent) throws IOException {
-        String sample = Files.readString(Path.of("deploy/sample.json"));
-        int a = sample.indexOf("\"known\":"), b = sample.indexOf("\"settings\":");
-        StringBuilder text = new StringBuilder(sample.substring(0, a)).append("\"known\": ");
-        list(text, 0, 1, known + 1, true);
-        text.append(",\n  ").append(sample.substring(b));
-        return Files.writeString(folder.resolve("config.json"), text.toString().replace("127.0.0.1:9\",\n  \"seed", "127.0.0.1:" + agent
-                + "\",\n  \"seed").replace("\"memory_mb\": 192", "\"memory_mb\": " + size.count("memory_mb"))
-                .replace("\"disk_mb\": 2}", "\"disk_mb\": " + size.count("disk_mb") + "}"));
+        return SampleConfig.write(folder.resolve("config.json"), size, known, SampleConfig::unreachable, agent);
     }
 
     private Path state() throws IOException {
@@ -110,12 +80,12 @@
     private void fromDiscovery(int count) throws IOException, InterruptedException {
         Path state = state();
         int fresh = count + 1;
-        byte[] whole = line(2, 1, count + 1, true);
+        byte[] whole = SampleConfig.line(2, 1, count + 1, true);
         say("list.bytes", count, whole.length, "bytes", "");
         boolean inForce;
         try (Agent agent = new Agent();
                 NodeProcess node = new NodeProcess(checkout, config(1, agent.port()), state, folder.resolve("log"))) {
-            agent.whole(line(1, 1, 2, true));
+            agent.whole(SampleConfig.line(1, 1, 2, true));
             if (Double.isNaN(node.serves(PATIENCE_S)) || !watched(agent)) {
                 say("list.inforce", count, Double.NaN, "s", "no watch");
                 return;
@@ -146,7 +116,7 @@
             double[] times = new double[changes];
             for (int i = 0; i < changes; i++) {
                 from = System.nanoTime();
-                agent.tell(line(3 + i, fresh + i, fresh + i + 1, false));
+                agent.tell(SampleConfig.line(3 + i, fresh + i, fresh + i + 1, false));
                 times[i] = inForce(node, fresh + i, from, "c");
             }
             java.util.Arrays.sort(times);
@@ -156,7 +126,7 @@
             int many = 10 * changes;
             before = node.processorSeconds();
             for (int i = changes; i < changes + many; i++) {
-                agent.tell(line(3 + i, fresh + i, fresh + i + 1, false));
+                agent.tell(SampleConfig.line(3 + i, fresh + i, fresh + i + 1, false));
                 Thread.sleep(5);
             }
             boolean last = !Double.isNaN(inForce(node, fresh + changes + many - 1, System.nanoTime(), "l"));
