A list that comes in pieces is not taken back by the tidying up after the one before

Both need a list of more than one piece within the time that the one before is tidied up. Three tests, each fails before.

--- a/node/src/main/java/wrenreach/endpoints/EndpointTable.java
+++ b/node/src/main/java/wrenreach/endpoints/EndpointTable.java
@@ -139,6 +139,7 @@
     private long[] amendments = new long[0];
     private final BitSet named = new BitSet();
     private int settled;
+    private boolean staging;
     private int leftFrom;
     private long lists;
 
@@ -239,7 +240,9 @@
     /** Begins a list; what was staged and not put in force is given up. */
     public void begin() {
         lists++;
+        staging = false;
         settle(Integer.MAX_VALUE);
+        staging = true;
         touched.clear();
         amended.clear();
         amendments = new long[0];
@@ -298,6 +301,7 @@
             chunk.weight[amended.get(i) & MASK] = Double.longBitsToDouble(amendments[2 * i + 1]);
         }
         amended.clear();
+        staging = false;
         current = next;
         size = stagedSize;
         index = version;
@@ -319,10 +323,14 @@
     }
 
     /**
-     * Gives room back that the last list has left, or one that was given up: so many rows at most. True: all is done.
-     * {@link #begin} does what is left.
+     * Gives room back that the last list has left: so many rows at most. True: all is done. {@link #begin} does what is left, of a
+     * list that was given up too: what is staged has room until then.
      */
     public boolean settle(int most) {
+        if (staging) {
+            // Guards drains: its pieces come with other work of the loop between them.
+            return true;
+        }
         int until = (int) Math.min(touched.size(), (long) settled + most);
         for (; settled < until; settled++) {
             int row = touched.get(settled);
--- a/node/src/main/java/wrenreach/endpoints/ListLog.java
+++ b/node/src/main/java/wrenreach/endpoints/ListLog.java
@@ -16,6 +16,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.BitSet;
 import java.util.List;
 import java.util.zip.CRC32;
 import wrenreach.log.LogEvent;
@@ -50,6 +51,12 @@
     /** A snapshot under way, and its next row. */
     private Writer snapshot;
     private int row;
+    /** Rows that it has passed and that have changed since. */
+    private final BitSet stale = new BitSet();
+    /** It has all rows, as far as they are in force. */
+    private boolean passed;
+    /** A list is on its way. */
+    private boolean listing;
     /** Bytes of the last snapshot. */
     private long based;
     private Kept kept;
@@ -227,6 +234,7 @@
 
     /** A list begins: what was noted of one that has not ended is given up. */
     public void begin() {
+        listing = true;
         if (log != null) {
             attempt(() -> log.back());
         }
@@ -241,45 +249,62 @@
 
     /** It holds from now on; a short list that is not kept yet, or has become long, is written anew at once. */
     public void commit(long index, String from, EndpointTable table) {
+        listing = false;
         kept = new Kept(index, from);
         if (log != null) {
             attempt(() -> log.commit(kept));
         }
-        if (snapshot != null && table.touched() <= SLICE) {
-            // What it has passed may have changed since: of an endpoint that stands there twice the later line counts.
+        if (snapshot != null) {
+            // What it has passed may have changed since: of an endpoint that stands there twice the later line counts. Not begun
+            // anew: guards against lists that change more often than one can be written.
             attempt(() -> {
                 for (int i = 0; i < table.touched(); i++) {
-                    snapshot.entry(table.entry(table.touched(i)));
+                    int touched = table.touched(i);
+                    if (touched < row && table.status(touched) == EndpointTable.ABSENT) {
+                        // Its place may be another's by the time that what is stale is written.
+                        snapshot.entry(table.entry(touched));
+                        stale.clear(touched);
+                    } else if (touched < row) {
+                        stale.set(touched);
+                    }
                 }
             });
-        } else if (snapshot != null || log == null || log.size > Math.max(SMALL, 2 * based)) {
-            drop(snapshot);
+        } else if (log == null || log.size > Math.max(SMALL, 2 * based)) {
             attempt(() -> {
                 snapshot = new Writer(next, 0);
                 row = 0;
+                passed = false;
+                stale.clear();
             });
         }
         slice(table);
     }
 
-    /** Whether {@link #slice} has something to do. */
+    /** Whether {@link #slice} has something to do; a snapshot that is ready waits for the end of a list that is on its way. */
     public boolean slices() {
-        return snapshot != null;
+        return snapshot != null && !(listing && passed);
     }
 
-    /** The next slice of a new snapshot. Not while a list is on its way: its changes would be missed. */
+    /** The next slice of a new snapshot. It takes the file's place not while a list is on its way: what was noted of that is there. */
     public void slice(EndpointTable table) {
         if (snapshot == null) {
             return;
         }
         attempt(() -> {
+            int from = row;
             int until = Math.min(table.rows(), row + SLICE);
             for (; row < until; row++) {
                 if (table.status(row) != EndpointTable.ABSENT) {
                     snapshot.entry(table.entry(row));
                 }
             }
-            if (row >= table.rows()) {
+            for (int left = until - from; left < SLICE && !stale.isEmpty(); left++) {
+                int again = stale.nextSetBit(0);
+                stale.clear(again);
+                snapshot.entry(table.entry(again));
+            }
+            passed = row >= table.rows() && stale.isEmpty();
+            if (passed && !listing) {
                 snapshot.commit(kept);
                 Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
                 Files.deleteIfExists(folder.resolve(FORM_1));
--- a/node/src/test/java/wrenreach/endpoints/EndpointTableTest.java
+++ b/node/src/test/java/wrenreach/endpoints/EndpointTableTest.java
@@ -125,6 +125,26 @@
         assertThat(small.whole().entries()).containsExactlyInAnyOrderElementsOf(whole(3, 100).entries());
     }
 
+    /** Guards drains against the tidying up of the list before: it goes on between the pieces of the next one. */
+    @Test void whatIsStagedStaysWhileRoomIsGivenBack() throws IOException {
+        EndpointTable table = new EndpointTable(1_000_000, "a test");
+        table.take(whole(1, 50));
+        ListSink sink = table.sink();
+        sink.begin();
+        sink.entry(entry(3, "DRAINING"));
+        sink.entry(entry(70, "SERVING"));
+        table.settle(1000);
+        sink.entry(entry(4, "DELETED"));
+        assertThat(table.settle(1000)).as("nothing is left to do").isTrue();
+        sink.end(2, false);
+        assertThat(table.status(table.find(entry(3, "").name()))).isEqualTo(EndpointTable.DRAINING);
+        assertThat(table.find(entry(70, "").name())).isNotEqualTo(EndpointTable.NONE);
+        assertThat(table.find(entry(4, "").name())).isEqualTo(EndpointTable.NONE);
+        assertThat(table.size()).isEqualTo(50);
+        assertThat(table.settle(1000)).isTrue();
+        assertThat(table.whole().entries()).hasSize(50);
+    }
+
     /** Guards memory against a list that names the same few for ever. */
     @Test void aListThatNeverEndsIsRefused() {
         EndpointTable small = new EndpointTable(10_000, "an eighth of something");
--- a/node/src/test/java/wrenreach/endpoints/ListLogTest.java
+++ b/node/src/test/java/wrenreach/endpoints/ListLogTest.java
@@ -16,7 +16,7 @@
     private static final long ROOM = 50_000_000;
     private static final String FROM = "127.0.0.1:9";
     @TempDir Path folder;
-    private final EndpointTable table = table();
+    private EndpointTable table = table();
 
     private static EndpointTable table() {
         return new EndpointTable(1_000_000, "a test");
@@ -160,6 +160,28 @@
         assertThat(folder.resolve(ListLog.NEXT)).doesNotExist();
     }
 
+    /** Guards what a list tells against a new snapshot that is ready between its pieces; and the loop against one that never ends. */
+    @Test void aSnapshotThatIsReadyWhileAListComesMissesNothing() throws IOException {
+        ListLog log = new ListLog(folder, ROOM);
+        take(log, EndpointTableTest.whole(1, 3 * ListLog.SLICE));
+        assertThat(log.slices()).isTrue();
+        ListSink sink = table.sink(log::note);
+        sink.begin();
+        log.begin();
+        sink.entry(EndpointTableTest.entry(7, "DRAINING"));
+        for (int i = 0; log.slices(); i++) {
+            assertThat(i).as("slices").isLessThan(10);
+            log.slice(table);
+            table.settle(ListLog.SLICE);
+        }
+        sink.entry(EndpointTableTest.entry(2900, "DRAINING"));
+        sink.end(2, false);
+        log.commit(2, FROM, table);
+        slices(log, table);
+        log.close();
+        assertThat(sorted(found(folder))).isEqualTo(sorted(table)).filteredOn(e -> e.status().equals("DRAINING")).hasSize(2);
+    }
+
     /** It does not grow for ever: changes time and again leave a file of the list's own length. */
     @Test void aLogThatHasDoubledIsWrittenAnew() throws IOException {
         ListLog log = new ListLog(folder, ROOM);
@@ -172,6 +194,47 @@
         assertThat(sorted(found(folder))).isEqualTo(sorted(table));
     }
 
+    /** The size to come, 1.3% of it drained and back time and again, half of it in the middle of a new snapshot: all stays bounded. */
+    @Test void atTheSizeThoseThatFlapLeaveTableAndFileBounded() throws IOException {
+        table = new EndpointTable(64_000_000, "a test");
+        ListLog log = new ListLog(folder, 50 * 64_000_000L);
+        take(log, EndpointTableTest.whole(1, EndpointTableTest.SIZE));
+        slices(log, table);
+        long bytes = table.bytes();
+        long file = Files.size(folder.resolve(ListLog.NAME));
+        ListLine.Entry[] down = new ListLine.Entry[EndpointTableTest.SIZE * 13 / 1000];
+        ListLine.Entry[] up = new ListLine.Entry[down.length];
+        for (int i = 0; i < down.length; i++) {
+            down[i] = EndpointTableTest.entry(i * 76, "DRAINING");
+            up[i] = EndpointTableTest.entry(i * 76, "SERVING");
+        }
+        int anew = 0;
+        for (int i = 2; i < 202; i++) {
+            long before = Files.size(folder.resolve(ListLog.NAME));
+            take(log, changes(i, i % 2 == 0 ? down : up));
+            for (int slice = 0; slice < 100; slice++) {
+                log.slice(table);
+            }
+            assertThat(table.bytes()).isEqualTo(bytes);
+            long after = Files.size(folder.resolve(ListLog.NAME));
+            assertThat(after).isLessThan(2 * file + 4 * file / 50);
+            anew += after < before ? 1 : 0;
+        }
+        assertThat(anew).as("written anew").isPositive();
+        take(log, changes(202, down));
+        log.close();
+        EndpointTable later = new EndpointTable(64_000_000, "a test");
+        ListLog next = new ListLog(folder, 50 * 64_000_000L);
+        assertThat(next.look().index()).isEqualTo(202);
+        next.tell(later.sink());
+        next.close();
+        assertThat(later.size()).isEqualTo(EndpointTableTest.SIZE);
+        for (int i = 0; i < EndpointTableTest.SIZE; i++) {
+            ListLine.Entry entry = EndpointTableTest.entry(i, "SERVING");
+            assertThat(later.status(later.find(entry.name()))).isEqualTo(table.status(table.find(entry.name())));
+        }
+    }
+
     /** Where it has no room nothing older stays; once the list has shrunk it is kept again. */
     @Test void whatFindsNoRoomLeavesNothingOlder() throws IOException {
         ListLog log = new ListLog(folder, 50 * 2000);
