--- a/lab/src/test/java/wrenreach/lab/LabTest.java
+++ b/lab/src/test/java/wrenreach/lab/LabTest.java
@@ -260,6 +260,32 @@
         }
     }
 
+    /**
+     * Discovery, and who hears of ends, are gone for an hour, in the middle of which the node starts anew: mails go on by the list
+     * as last heard, and what has begun to drain meanwhile is heeded within 6 s of their return.
+     */
+    @Test void discoveryMayBeGoneForAnHour() throws Exception {
+        int hour = 3_600_000;
+        Scenario day = Scenario.parse(List.of("seed 5", "endpoints 3", "zones 1", "rate 1", "length " + (hour + 100_000),
+                "fault cut_platform 0 at 10000 for " + hour, "fault kill 0 at " + hour / 2 + " for 1000",
+                "fault drain 1 at " + (hour - 60_000) + " for 20000"));
+        Play play = Play.of(day, Choice::new);
+        assertThat(Rules.judge(day, play.world.facts, play.settings, play.world.now())).as(day.text()).isEmpty();
+        for (int minute = 1; minute <= 60; minute++) {
+            long from = World.BEGIN + minute * 60_000 * Play.MS;
+            assertThat(play.world.facts).as("minute " + minute).anyMatch(fact -> fact instanceof Fact.Delivered
+                    && fact.at() >= from && fact.at() < from + 60_000 * Play.MS);
+        }
+        String drained = play.world.facts.stream().filter(Fact.ToldDrain.class::isInstance).map(f -> ((Fact.ToldDrain) f).receiver())
+                .findFirst().orElseThrow();
+        long begun = World.BEGIN + (hour - 60_000) * Play.MS;
+        long back = World.BEGIN + (hour + 10_000) * Play.MS;
+        assertThat(play.world.facts).as("unheard of").anyMatch(fact -> fact instanceof Fact.Called called && called.at() > begun
+                && called.at() < back && called.receiver().equals(drained));
+        assertThat(play.world.facts).noneMatch(fact -> fact instanceof Fact.Called called && called.at() > back + 6000 * Play.MS
+                && called.receiver().equals(drained));
+    }
+
     /** Days that broke a rule once: what was found stays found. */
     @Test void keptDaysStayMended() throws Exception {
         try (var files = Files.list(Path.of("lab/days"))) {
