--- a/bench/src/main/java/wrenreach/bench/capacity/Capacity.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/Capacity.java
@@ -64,6 +64,9 @@
         for (int count : size.counts("traffic_sizes")) {
             new TrafficSlopes(size, name(last), checkout(last), folder, taker).measure(count);
         }
+        for (int nodes : size.counts("watch_sizes")) {
+            DiscoverySlopes.measure(size, name(last), checkout(last), folder, nodes, taker);
+        }
         for (int nodes : size.counts("fleet_sizes")) {
             FleetSlopes.measure((long) size.number("seed"), name(last), nodes, taker);
         }
--- a/bench/src/main/java/wrenreach/bench/capacity/CapacityPage.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/CapacityPage.java
@@ -110,6 +110,10 @@
                     + text(lineBytes * 1e-6) + " MB", last, size.number("restarts_a_day") * lineBytes * 1e-9, "GB a day",
                     rate * nodes * DAY * 1e-9);
         }
+        fitted("discovery", "one change, to in force at the last node of one watch server's", last, "nodes.change", nodes
+                / size.number("control_machines"), 1e-3, "s", size.number("in_force_seconds"));
+        fitted("discovery", text(size.number("burst")) + " changes at once, to in force at the last node of one watch server's", last,
+                "nodes.burst", nodes / size.number("control_machines"), 1e-3, "s", size.number("in_force_seconds"));
         double backlog = size.number("backlog") / nodes;
         fitted("delivery node", "disk for the backlog that lies at one", last, "held.disk", backlog, 1e-9, "GB",
                 size.number("disk_mb") * 1e-3);
--- a/bench/src/main/java/wrenreach/bench/capacity/ListSlopes.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/ListSlopes.java
@@ -160,7 +160,7 @@
     }
 
     /** Seconds until the node knows the destination; NaN: not in time. */
-    private static double inForce(NodeProcess node, int destination, long from, String id) throws IOException, InterruptedException {
+    static double inForce(NodeProcess node, int destination, long from, String id) throws IOException, InterruptedException {
         for (int i = 0; System.nanoTime() - from < IN_FORCE_S * 1_000_000_000L && node.alive(); i++) {
             try {
                 if (node.knows(destination, id + destination + "-" + i)) {
--- a/bench/src/test/java/wrenreach/bench/capacity/CapacityTest.java
+++ b/bench/src/test/java/wrenreach/bench/capacity/CapacityTest.java
@@ -70,7 +70,7 @@
     @Test void theRigMeasuresASmallSize(@TempDir Path folder) throws Exception {
         Path small = folder.resolve("small.properties");
         Files.writeString(small, Files.readString(SIZE).replaceAll("(?m)^(list_sizes|held_sizes|traffic_sizes) = .*", "$1 = 50")
-                .replaceAll("(?m)^fleet_sizes = .*", "fleet_sizes = 2").replaceAll("(?m)^idle_seconds = .*", "idle_seconds = 1")
+                .replaceAll("(?m)^(fleet|watch)_sizes = .*", "$1_sizes = 2").replaceAll("(?m)^idle_seconds = .*", "idle_seconds = 1")
                 .replaceAll("(?m)^changes = .*", "changes = 2").replaceAll("(?m)^traffic_seconds = .*", "traffic_seconds = 1"));
         Path jar = Path.of("target/wrenreach.jar");
         assertThat(jar).as("bench is built after app").exists();
@@ -78,7 +78,7 @@
         Capacity.measure(new SizeFile(small), csv, List.of("now=."));
         List<Measurement> all = Measurement.read(csv);
         assertThat(all).extracting(Measurement::slope).contains("config.start", "config.live", "config.idle", "list.inforce",
-                "list.longest", "change.inforce", "traffic.one.169", "traffic.two.338", "traffic.down.live", "restart.start", "held.disk", "held.start", "down.calls", "back.most");
+                "list.longest", "change.inforce", "traffic.one.169", "traffic.two.338", "traffic.down.live", "nodes.change", "nodes.burst", "restart.start", "held.disk", "held.start", "down.calls", "back.most");
         assertThat(all).allMatch(m -> !Double.isNaN(m.value()), "is had");
     }
 
