--- a/bench/src/main/java/wrenreach/bench/capacity/CapacityPage.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/CapacityPage.java
@@ -83,6 +83,18 @@
             measured("delivery node", "idle, cores", build, "config.idle", count, 1, "cores", 0.005);
         }
         String last = builds().get(builds().size() - 1);
+        for (String layout : List.of("one", "two", "down")) {
+            String which = switch (layout) {
+                case "one" -> "one endpoint each";
+                case "two" -> "two endpoints each";
+                default -> "one each, " + text(100 * size.number("down_part")) + "% down";
+            };
+            for (int rate : size.counts("traffic_rates")) {
+                measured("delivery node", rate + " events a second, " + which, last, "traffic." + layout + "." + rate, count, 1, "cores",
+                        rate <= size.number("events_per_second") / nodes ? 0.5 : 1);
+            }
+            measured("delivery node", "live heap after them, " + which, last, "traffic." + layout + ".live", count, 1e-6, "MB", 48);
+        }
         double lineBytes = value(last, "list.bytes", count);
         double rate = size.number("control_bytes_per_second");
         if (!Double.isNaN(lineBytes)) {
@@ -98,6 +110,10 @@
                     + text(lineBytes * 1e-6) + " MB", last, size.number("restarts_a_day") * lineBytes * 1e-9, "GB a day",
                     rate * nodes * DAY * 1e-9);
         }
+        fitted("discovery", "one change, to in force at the last node of one watch server's", last, "nodes.change", nodes
+                / size.number("control_machines"), 1e-3, "s", size.number("in_force_seconds"));
+        fitted("discovery", text(size.number("burst")) + " changes at once, to in force at the last node of one watch server's", last,
+                "nodes.burst", nodes / size.number("control_machines"), 1e-3, "s", size.number("in_force_seconds"));
         double backlog = size.number("backlog") / nodes;
         fitted("delivery node", "disk for the backlog that lies at one", last, "held.disk", backlog, 1e-9, "GB",
                 size.number("disk_mb") * 1e-3);
--- a/node/src/main/java/wrenreach/endpoints/EndpointTable.java
+++ b/node/src/main/java/wrenreach/endpoints/EndpointTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.IntPredicate;
 
 /**
  * The list of endpoints in packed form: rows in chunks of flat arrays, found by name and by destination. What a list tells
@@ -138,6 +139,7 @@
     private long[] amendments = new long[0];
     private final BitSet named = new BitSet();
     private int settled;
+    private boolean staging;
     private int leftFrom;
     private long lists;
 
@@ -238,7 +240,9 @@
     /** Begins a list; what was staged and not put in force is given up. */
     public void begin() {
         lists++;
+        staging = false;
         settle(Integer.MAX_VALUE);
+        staging = true;
         touched.clear();
         amended.clear();
         amendments = new long[0];
@@ -284,8 +288,8 @@
     public void commit(long version, boolean whole) {
         int next = 1 - current;
         leftFrom = touched.size();
-        for (int row = 0; whole && row < rows; row++) {
-            if (!named.get(row) && at(row).status[next][row & MASK] != ABSENT) {
+        for (int row = named.nextClearBit(0); whole && row < rows; row = named.nextClearBit(row + 1)) {
+            if (at(row).status[next][row & MASK] != ABSENT) {
                 set(row, next, ABSENT);
                 stagedSize--;
                 touched.add(row);
@@ -297,6 +301,7 @@
             chunk.weight[amended.get(i) & MASK] = Double.longBitsToDouble(amendments[2 * i + 1]);
         }
         amended.clear();
+        staging = false;
         current = next;
         size = stagedSize;
         index = version;
@@ -318,10 +323,14 @@
     }
 
     /**
-     * Gives room back that the last list has left, or one that was given up: so many rows at most. True: all is done.
-     * {@link #begin} does what is left.
+     * Gives room back that the last list has left: so many rows at most. True: all is done. {@link #begin} does what is left, of a
+     * list that was given up too: what is staged has room until then.
      */
     public boolean settle(int most) {
+        if (staging) {
+            // Guards drains: its pieces come with other work of the loop between them.
+            return true;
+        }
         int until = (int) Math.min(touched.size(), (long) settled + most);
         for (; settled < until; settled++) {
             int row = touched.get(settled);
@@ -342,21 +351,20 @@
         return find(name.getBytes(StandardCharsets.UTF_8), current);
     }
 
-    /** Whether the list in force has an endpoint of this destination. */
-    public boolean hasGroup(int group) {
-        for (int row = byGroup.first(group); row != NONE; row = at(row).nextByGroup[row & MASK]) {
-            if (at(row).group[row & MASK] == group && status(row) != ABSENT) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** The rows in force of a destination, by their numbers. */
     public int[] rowsOf(int group) {
+        return rowsOf(group, row -> status(row) != ABSENT);
+    }
+
+    /** The rows of a destination that the last list named or took out, by their numbers; until they are settled. */
+    public int[] touchedOf(int group) {
+        return rowsOf(group, row -> status(row) == ABSENT ? at(row).status[1 - current][row & MASK] != ABSENT : named.get(row));
+    }
+
+    private int[] rowsOf(int group, IntPredicate which) {
         Numbers found = new Numbers();
         for (int row = byGroup.first(group); row != NONE; row = at(row).nextByGroup[row & MASK]) {
-            if (at(row).group[row & MASK] == group && status(row) != ABSENT) {
+            if (at(row).group[row & MASK] == group && which.test(row)) {
                 found.add(row);
             }
         }
