Lists from watched files: parts are read in a stream and summed as they come

Need: the size issue asks that no list is ever held whole as bytes, text and objects at once; a part was read as bytes before it was parsed (34 MB at 310,000 endpoints, worked out from 110 bytes a line). Change: ListFiles reads through Summed, bounded as before; the sum is judged before what reads wrong in the text, so a part that is being written is told as that. Test aSpoiltPartIsToldByItsSumFirst; the lists module's tests pass (the parts' reader takes a stream in two of them).

--- a/lists/src/main/java/wrenreach/lists/ListFiles.java
+++ b/lists/src/main/java/wrenreach/lists/ListFiles.java
@@ -36,7 +36,7 @@
     private static final int MANIFEST_BYTES = 1 << 20, PARTS = 256, TEXT = 256, PRINT = 12;
     private static final double WEIGHT = 1e9;
     private static final JsonFactory JSON = JsonFactory.builder()
-            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).disable(StreamReadFeature.AUTO_CLOSE_SOURCE).build();
 
     /** What a list may hold: bytes of all parts, endpoints, endpoints of one destination. */
     record Bounds(long bytes, int endpoints, int ofDestination) { }
@@ -96,21 +96,69 @@
         }
     }
 
+    /** A file that is read in a stream: never over the limit, also if it grows meanwhile, and its sum is known at its end. */
+    private static final class Summed extends InputStream {
+        private final InputStream in;
+        private final long limit;
+        private final MessageDigest sum = sha256();
+        private long read;
+
+        Summed(InputStream in, long limit) {
+            this.in = in;
+            this.limit = limit;
+        }
+
+        @Override public int read() throws IOException {
+            byte[] one = new byte[1];
+            return read(one, 0, 1) < 0 ? -1 : one[0] & 255;
+        }
+
+        @Override public int read(byte[] to, int from, int length) throws IOException {
+            int count = in.read(to, from, length);
+            if (count > 0) {
+                sum.update(to, from, count);
+                read += count;
+                if (read > limit) {
+                    throw new IOException("larger than " + limit + " bytes");
+                }
+            }
+            return count;
+        }
+
+        /** Reads what is left; the sum of all. */
+        String sum() throws IOException {
+            transferTo(OutputStream.nullOutputStream());
+            return HexFormat.of().formatHex(sum.digest());
+        }
+
+        @Override public void close() throws IOException {
+            in.close();
+        }
+    }
+
     /** The list that a manifest names, in all of its parts; earlier: what it shares with is kept once, or null. */
     static Generation read(Found found, Manifest manifest, Bounds bounds, Generation earlier) throws ListFault {
         Reading reading = new Reading(bounds, earlier);
         long left = bounds.bytes();
         for (Part part : manifest.parts) {
             Path file = found.real.resolveSibling(part.file);
-            try {
-                byte[] bytes = bytes(file, left);
-                left -= bytes.length;
-                String sum = sum(bytes);
+            try (Summed in = new Summed(Files.newInputStream(file), left)) {
+                ListFault spoilt = null;
+                try {
+                    reading.part(file, in);
+                } catch (ListFault e) {
+                    spoilt = e;
+                }
+                // Before all that reads wrong in it: one that is being written reads wrong, and is no fault of its writer's.
+                String sum = in.sum();
                 if (!sum.equals(part.sha256)) {
                     throw new ListFault(file, 0, "its SHA-256 is " + sum + ", the manifest says " + part.sha256
                             + ": not written whole, or not of this manifest");
                 }
-                reading.part(file, bytes);
+                if (spoilt != null) {
+                    throw spoilt;
+                }
+                left -= in.read;
             } catch (IOException e) {
                 throw unreadable(file, e);
             }
@@ -253,7 +301,7 @@
         }
 
         /** One part: its head, an endpoint a line, and how many they were. */
-        void part(Path file, byte[] bytes) throws ListFault {
+        void part(Path file, InputStream bytes) throws ListFault {
             try (JsonParser in = JSON.createParser(bytes)) {
                 Fields fields = new Fields(file, in);
                 head(fields);
@@ -397,9 +445,9 @@
 
     /** The list that {@link #write} wrote. */
     static Generation reread(Path file, Bounds bounds) throws ListFault {
-        try {
+        try (Summed in = new Summed(Files.newInputStream(file), bounds.bytes())) {
             Reading reading = new Reading(bounds, null);
-            reading.part(file, bytes(file, bounds.bytes()));
+            reading.part(file, in);
             return new Generation(reading.head.getOrDefault("print", ""), reading.head.getOrDefault("label", ""),
                     reading.endpoints);
         } catch (IOException e) {
--- a/lists/src/test/java/wrenreach/lists/ListFilesTest.java
+++ b/lists/src/test/java/wrenreach/lists/ListFilesTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.catchThrowable;
 
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -23,7 +24,7 @@
 
     private static Generation part(String text) throws ListFault {
         ListFiles.Reading reading = new ListFiles.Reading(BOUNDS, null);
-        reading.part(FILE, text.getBytes(StandardCharsets.UTF_8));
+        reading.part(FILE, new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8)));
         return new Generation("", "", reading.endpoints);
     }
 
@@ -52,7 +53,7 @@
         assertThat(ListFiles.manifest(FILE, manifest).parts()).hasSize(2);
         for (int cut = 0; cut < whole.length - 1; cut++) {
             byte[] bytes = Arrays.copyOf(whole, cut);
-            assertThat(catchThrowable(() -> new ListFiles.Reading(BOUNDS, null).part(FILE, bytes))).as("cut at " + cut)
+            assertThat(catchThrowable(() -> new ListFiles.Reading(BOUNDS, null).part(FILE, new ByteArrayInputStream(bytes)))).as("cut at " + cut)
                     .isInstanceOf(ListFault.class);
         }
         for (int cut = 0; cut < manifest.length - 1; cut++) {
@@ -103,6 +104,21 @@
         assertThatThrownBy(() -> ListFiles.manifest(FILE, bytes)).hasMessageContaining("a name beside the manifest");
     }
 
+    /** A part is read as it comes: one that is not written whole is told as that, whatever its text; one of its manifest by its text. */
+    @ParameterizedTest
+    @CsvSource({"true, 'can''t be read as JSON'", "false, not written whole"})
+    void aSpoiltPartIsToldByItsSumFirst(boolean itsOwn, String told) throws Exception {
+        Files.writeString(folder.resolve("a"), HEAD + endpoint("") + "{\"end\":" + "x".repeat(100_000));
+        String sum = itsOwn ? ListFiles.sum(Files.readAllBytes(folder.resolve("a"))) : "0".repeat(64);
+        Path file = folder.resolve("manifest");
+        Files.write(file, ListFiles.write(new ListFiles.Manifest("", "", List.of(new ListFiles.Part("a", sum)))));
+        ListFiles.Found found = ListFiles.find(file);
+        ListFiles.Manifest manifest = ListFiles.manifest(file, found.bytes());
+        assertThatThrownBy(() -> ListFiles.read(found, manifest, BOUNDS, null)).hasMessageContaining(told);
+        ListFiles.Bounds small = new ListFiles.Bounds(100_000, 5, 3);
+        assertThatThrownBy(() -> ListFiles.read(found, manifest, small, null)).hasMessageContaining("larger than 100000 bytes");
+    }
+
     @Test void aPartOfAnotherManifestIsAFault() throws Exception {
         Files.writeString(folder.resolve("a"), HEAD + endpoint("") + "{\"end\":1}");
         String sum = ListFiles.sum(Files.readAllBytes(folder.resolve("a")));
