Rests of many nodes are spread over as long as they last; the capacity page measured anew

Ruled out: saved tokens, nodes that are not cold yet (no change). Change: Choice.open, half to one and a half of a rest that is longer than the plain one.

--- a/bench/src/main/java/wrenreach/bench/capacity/CapacityPage.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/CapacityPage.java
@@ -123,8 +123,9 @@
         double calls = value(last, "down.calls", (long) nodes);
         result("destinations", "calls at all that are down, each node with mails waiting for each", text(calls) + " x " + text(down),
                 last, calls * down, "calls a second", 0.01 * size.number("events_per_second"));
-        result("destinations", "most calls in a second at one that returns cold", "measured, " + text(nodes) + " nodes", last,
-                value(last, "back.most", (long) nodes), "calls", 6 + 2 * Math.sqrt(6) + 2);
+        result("destinations", "calls at one that returns cold, in the worst " + FleetSlopes.TIP_SECONDS + " s, parts of what it bears",
+                "measured, " + text(nodes) + " nodes", last, value(last, "back.window", (long) nodes), "", 1);
+        result("destinations", "the same at a hundred nodes", "measured, 100 nodes", last, value(last, "back.window", 100), "", 1);
         double perHour = value(last, "down.notes", (long) nodes) / nodes;
         result("operator's tools", "breaker notes of a node, mails waiting for each that is down", text(perHour) + " an hour and "
                 + "destination x " + text(down), last, perHour * down, "notes an hour", 3600);
--- a/bench/src/main/java/wrenreach/bench/capacity/FleetSlopes.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/FleetSlopes.java
@@ -1,5 +1,6 @@
 package wrenreach.bench.capacity;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -23,6 +24,8 @@
  */
 final class FleetSlopes {
     private static final long MS = 1000, S = 1_000_000, TICK = 5 * MS, DOWN = 60 * S, BACK = 10 * S;
+    /** So long a receiver counts its calls when it is cold. */
+    static final long TIP_SECONDS = 3, TIP = TIP_SECONDS * S;
     /** The receiver's limit in calls a second, what it takes when it returns cold, and the overload it bears. */
     private static final double LIMIT = 10, COLD = 0.3, BEARS = 2;
 
@@ -54,6 +57,8 @@
         long back = start + DOWN;
         int down = 0, returning = 0, mostInASecond = 0, notes = 0;
         int[] bySecond = new int[(int) (BACK / S)];
+        ArrayDeque<Long> window = new ArrayDeque<>();
+        double worst = 0;
         for (long now = start; now < back + BACK; now += TICK) {
             boolean[] woken = new boolean[nodes];
             List<Answer>[] said = newLists(nodes);
@@ -81,6 +86,12 @@
                         } else {
                             returning++;
                             mostInASecond = Math.max(mostInASecond, ++bySecond[(int) ((now - back) / S)]);
+                            window.addLast(now);
+                            while (window.peekFirst() <= now - TIP) {
+                                window.removeFirst();
+                            }
+                            double can = BEARS * (COLD + (1 - COLD) * (now - back) / BACK) * LIMIT * TIP / S;
+                            worst = Math.max(worst, window.size() / (can + 2 * Math.sqrt(can) + 2));
                         }
                     }
                 }
@@ -90,6 +101,8 @@
         taker.accept(new Measurement(build, "down.notes", nodes, notes * 3600.0 / (DOWN / (double) S), "notes an hour", ""));
         taker.accept(new Measurement(build, "back.most", nodes, mostInASecond, "calls in a second", String.format(java.util.Locale.ROOT,
                 "it bears %.0f cold", BEARS * COLD * LIMIT)));
+        taker.accept(new Measurement(build, "back.window", nodes, worst, "parts of what it bears", String.format(java.util.Locale.ROOT,
+                "in %d s, and 2 x root of it + 2", TIP_SECONDS)));
         taker.accept(new Measurement(build, "back.calls", nodes, returning, "calls in ten seconds", ""));
     }
 
@@ -104,6 +117,6 @@
         return new Settings(me, nodes, 0, TICK, seed, 1000, 100, 1000, 1, false, true, true, 2 * S, 5 * S, S, false, 10 * S, true,
                 false, 0.1, -1, -1, List.of(new Settings.QueueClass(2500 * MS, DOWN + 20 * BACK, 1, 0.3, false, Effect.REDELIVERABLE,
                 RepeatGroup.ALL, 7500 * MS, false)), List.of(new Settings.Kind(false, 1)), List.of(),
-                new Settings.Rules(20 * MS, 500 * MS, COLD, 10 * S, BEARS, 3 * S, 300 * MS));
+                new Settings.Rules(20 * MS, 500 * MS, COLD, 10 * S, BEARS, TIP, 300 * MS));
     }
 }
--- a/bench/src/test/java/wrenreach/bench/capacity/CapacityTest.java
+++ b/bench/src/test/java/wrenreach/bench/capacity/CapacityTest.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** The rig itself, at a small size, and that the page says what was measured. */
 class CapacityTest {
@@ -61,9 +63,24 @@
         List<Measurement> first = new ArrayList<>(), second = new ArrayList<>();
         FleetSlopes.measure(7, "b", 10, first::add);
         FleetSlopes.measure(7, "b", 10, second::add);
-        assertThat(first).isEqualTo(second).hasSize(4);
+        assertThat(first).isEqualTo(second).hasSize(5);
         assertThat(first.get(0).value()).isPositive();
-        assertThat(first.get(3).value()).isPositive();
+        assertThat(first.get(4).value()).isPositive();
+    }
+
+    /**
+     * Guards a receiver that was down for a minute, while all nodes hold mails for it, against trials that began in step and so come
+     * in a wave: it bears what all send together.
+     */
+    @ParameterizedTest
+    @CsvSource({"10", "30", "100", "300", "650"})
+    void aReceiverBearsItsReturnToNodesThatAllWait(int nodes) {
+        for (int seed = 1; seed <= 3; seed++) {
+            List<Measurement> all = new ArrayList<>();
+            FleetSlopes.measure(seed, "b", nodes, all::add);
+            assertThat(all).filteredOn(m -> m.slope().equals("back.window")).singleElement().extracting(Measurement::value).as("seed " + seed)
+                    .satisfies(worst -> assertThat((double) worst).isLessThan(0.9));
+        }
     }
 
     /** Real processes at a small size: each slope has its figure. */
--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -23,7 +23,7 @@
     private static final long FORGET = 60 * SECOND;
     private static final double REST_SHARE = 0.3, TRIAL_FILL = 1.0;
     // Shares of the ring's outcomes: an outage is most calls failing; parking wants near certainty.
-    private static final int RING = 8, SUSPECT_RUN = 2, SHUT_RUN = 4;
+    private static final int RING = 8, SUSPECT_RUN = 2, SHUT_RUN = 4, DOUBLINGS = 3;
     private static final double FAILS_MOSTLY = 0.75, FAILS_OFTEN = 0.5;
     // Ratios to the target delay: worth is lost on that scale. Rest and cut-off leave time for another try
     // within it; burst is what a receiver's short queue takes; the share regains slower than bursts come.
@@ -38,7 +38,6 @@
     // Pace: parts of a route's limit, and of its reported allowance.
     private static final double BACK_OFF = 0.7, LEAST_SHARE = 0.5, FLOOR = 0.5, SCARCE_GAP = 0.5,
             SCARCE = 0.15, PLENTY = 0.65, FEW = 3;
-    private static final int DOUBLINGS = 3;
     // Where reports tell the allowance: the share that a node starts from, in parts; how fast, in powers a
     // target delay, it follows what is left, and what is left where it stays.
     private static final double RUSH = 1.5, STEER = 4, MIDDLE = 0.5, STALE = 0.3;
@@ -917,9 +916,9 @@
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
             pause(r, 0, false, now);
-            // Guards a route among siblings against many nodes that fail there once: others can be tried,
-            // so the first failure with no relay of late paces it as cold; where a node is sparse the second in
-            // a row, as it may not see a third. Not the first there: that pace is a mail in half a minute.
+            // Guards a route among siblings against many nodes that fail there once: others can be tried, so
+            // the first failure with no relay of late paces it as cold; where a node is sparse the second in a
+            // row, as it may not see a third. Not the first there: that pace is a mail in half a minute.
             boolean spare = now - r.relayedAt > target && (c.endpoint.to.routes.size() > 1
                     || sparse(r) >= 1 && b.failedRun >= SUSPECT_RUN);
             if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
@@ -950,7 +949,9 @@
         b.openedAt = now;
         // Guards against a healed destination left waiting while its mails turn late: a trial risks one mail
         // only, so the rest is a part of the target delay, not 5 s. Harm: more trials meet a silent receiver.
-        b.restsUntil = now + (long) (rest(r, now) * (1 + REST_SHARE * chance(b.openedAt)));
+        // Where many nodes rest, they began in step: spread over as long, as over less too many came at once.
+        double rest = rest(r, now), by = chance(b.openedAt);
+        b.restsUntil = now + (long) (rest * (rest > REST * target ? 0.5 + by : 1 + REST_SHARE * by));
         b.trialRun = 0;
         b.failedRun = 0;
         r.cold = true;
