A file replaced at the look is taken once; whole nodes of the tests start in one place

Cause: a full run of the tests failed once on ReloadTest#aWatchedFileIsTakenWhenItChangesAndOnlyThen (21 for 20, the last one twice): Reload, since it no longer keeps a file's bytes, took the print at one reading and had the file read again for its taker, so one replaced in between was taken again. Change: the print is that of what the taker read. Test aFileThatIsReplacedAtTheLookIsTakenOnce (fails before). And ServeProcess in place of three copies of starting a node in WindowTest, RestartTest and DescriptorsTest: nothing that they ask is changed; who does not serve now fails at once in all three.

--- a/app/src/test/java/wrenreach/app/DescriptorsTest.java
+++ b/app/src/test/java/wrenreach/app/DescriptorsTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -46,41 +45,16 @@
         threads.shutdownNow();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
-        }
-    }
-
     private long descriptors() throws IOException {
         try (Stream<Path> all = Files.list(Path.of("/proc", Long.toString(node.pid()), "fd"))) {
             return all.count();
         }
     }
 
-    private static boolean pongs(int door) {
-        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), door)) {
-            client.setSoTimeout(20_000);
-            client.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
-            return client.getInputStream().read() == '+';
-        } catch (IOException e) {
-            return false; // It does not listen yet, or has shut this one unread.
-        }
-    }
-
     /** The reserve that no client can take: discovery is heard again, a mail goes out, and who was shut unread comes back. */
     @Test void aCrowdOfIdleClientsLeavesDescriptorsForAllElse() throws Exception {
-        int door = freePort(), agent = freePort();
-        Path config = Files.writeString(folder.resolve("config.json"), Files.readString(Path.of("deploy/sample.json"))
-                .replace("127.0.0.1:9", "127.0.0.1:" + agent).replace("127.0.0.1:0", "127.0.0.1:" + door)
-                .replace("\"sockets\": 512", "\"sockets\": " + DESCRIPTORS));
-        node = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "wrenreach.app.Launch", "serve", "--config",
-                config.toString(), "--state", folder.resolve("state").toString())
-                .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
-        for (int i = 0; i < 2000 && !pongs(door); i++) {
-            Thread.sleep(10);
-        }
+        int door = ServeProcess.freePort(), agent = ServeProcess.freePort();
+        node = ServeProcess.start(folder, ServeProcess.config(door, agent).replace("\"sockets\": 512", "\"sockets\": " + DESCRIPTORS), door);
         // Files of the machine's own (libraries, archives) are no descriptors of the node's limit.
         long before = descriptors();
         AtomicInteger most = new AtomicInteger();
--- a/app/src/test/java/wrenreach/app/RestartTest.java
+++ b/app/src/test/java/wrenreach/app/RestartTest.java
@@ -6,10 +6,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -47,9 +45,7 @@
     private Process node;
 
     @BeforeEach void listen() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            door = free.getLocalPort();
-        }
+        door = ServeProcess.freePort();
         outside = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100);
         outside.setExecutor(threads);
         outside.createContext("/events", exchange -> {
@@ -72,9 +68,7 @@
         });
         outside.createContext("/api/targets", exchange -> {
             if (!mute) {
-                exchange.sendResponseHeaders(200, 0);
-                exchange.getResponseBody().write("{\"index\":0,\"snapshot\":false,\"endpoints\":[]}\n".getBytes(StandardCharsets.US_ASCII));
-                exchange.getResponseBody().flush(); // A watch stays open.
+                ServeProcess.watched(exchange);
             }
         });
         outside.start();
@@ -90,24 +84,8 @@
 
     /** Starts a process whose settings have this weight of the receiver, and waits until it serves. */
     private void start(int weight) throws Exception {
-        String json = Files.readString(Path.of("deploy/sample.json")).replace("127.0.0.1:9", "127.0.0.1:" + outside.getAddress().getPort())
-                .replace("127.0.0.1:0", "127.0.0.1:" + door).replace("\"weight\": 10", "\"weight\": " + weight);
-        Path config = Files.writeString(folder.resolve("config.json"), json);
-        node = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "wrenreach.app.Launch", "serve", "--config",
-                config.toString(), "--state", folder.resolve("state").toString())
-                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
-        for (int i = 0; i < 2000; i++) {
-            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), door)) {
-                client.setSoTimeout(20_000);
-                client.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
-                assertThat(client.getInputStream().read()).isEqualTo('+');
-                return;
-            } catch (IOException e) {
-                Thread.sleep(10); // It does not listen yet.
-            }
-        }
-        throw new AssertionError("does not serve: " + Files.readString(folder.resolve("log")));
+        node = ServeProcess.start(folder, ServeProcess.config(door, outside.getAddress().getPort()).replace("\"weight\": 10", "\"weight\": " + weight),
+                door);
     }
 
     /** Hands in mails, one connection; those that were taken on. */
--- a/app/src/test/java/wrenreach/app/WindowTest.java
+++ b/app/src/test/java/wrenreach/app/WindowTest.java
@@ -6,10 +6,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -45,9 +43,7 @@
     private Process node;
 
     @BeforeEach void listen() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            door = free.getLocalPort();
-        }
+        door = ServeProcess.freePort();
         outside = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
         outside.setExecutor(threads);
         outside.createContext("/events", exchange -> {
@@ -75,11 +71,7 @@
             exchange.sendResponseHeaders(204, -1);
             exchange.close();
         });
-        outside.createContext("/api/targets", exchange -> {
-            exchange.sendResponseHeaders(200, 0);
-            exchange.getResponseBody().write("{\"index\":0,\"snapshot\":false,\"endpoints\":[]}\n".getBytes(StandardCharsets.US_ASCII));
-            exchange.getResponseBody().flush(); // A watch stays open.
-        });
+        outside.createContext("/api/targets", ServeProcess::watched);
         outside.start();
     }
 
@@ -105,21 +97,9 @@
     }
 
     private void start(String effect) throws Exception {
-        String json = Files.readString(Path.of("deploy/sample.json")).replace("127.0.0.1:9", "127.0.0.1:" + outside.getAddress().getPort())
-                .replace("127.0.0.1:0", "127.0.0.1:" + door).replace("\"weight\": 10", "\"weight\": 200")
-                .replace("\"Window\": 5", "\"Window\": " + WINDOW_MS / 1000).replace("\"Effect\": \"token\"", "\"Effect\": \"" + effect + "\"");
-        Path config = Files.writeString(folder.resolve("config.json"), json);
-        node = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "wrenreach.app.Launch", "serve", "--config",
-                config.toString(), "--state", folder.resolve("state").toString())
-                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
-        for (int i = 0; i < 2000; i++) {
-            if (ask("PING\r\n") == '+') {
-                return;
-            }
-            Thread.sleep(10);
-        }
-        throw new AssertionError("does not serve: " + Files.readString(folder.resolve("log")));
+        node = ServeProcess.start(folder, ServeProcess.config(door, outside.getAddress().getPort()).replace("\"weight\": 10", "\"weight\": 200")
+                .replace("\"Window\": 5", "\"Window\": " + WINDOW_MS / 1000).replace("\"Effect\": \"token\"", "\"Effect\": \"" + effect + "\""),
+                door);
     }
 
     /** The first byte of the answer; -1: it does not listen, or closed the connection. */
--- a/node/src/main/java/wrenreach/node/Reload.java
+++ b/node/src/main/java/wrenreach/node/Reload.java
@@ -2,10 +2,12 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.lang.System.Logger.Level;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.security.DigestInputStream;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
@@ -21,7 +23,6 @@
 public final class Reload implements FileWatch.Look {
     private static final System.Logger LOG = System.getLogger(Reload.class.getName());
     private static final long AGAIN_MS = 50;
-    private static final int PIECE = 1 << 13;
 
     /** The file's bytes, from their begin each time: they may be more than one would hold. */
     public interface Source {
@@ -96,10 +97,12 @@
             return true;
         }
         try {
-            byte[] print = print();
-            if (!Arrays.equals(print, taken)) {
-                taker.take(() -> Files.newInputStream(file));
-                taken = print;
+            Summed now = new Summed();
+            now.open().close();
+            if (!Arrays.equals(now.print, taken)) {
+                Summed read = new Summed();
+                taker.take(read);
+                taken = read.print;
             }
             return true;
         } catch (IOException e) {
@@ -110,17 +113,33 @@
         return false;
     }
 
-    /** What tells a file from another: its bytes may be too many to keep. */
-    private byte[] print() throws IOException {
-        try (InputStream in = Files.newInputStream(file)) {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            byte[] piece = new byte[PIECE];
-            for (int read = in.read(piece); read >= 0; read = in.read(piece)) {
-                digest.update(piece, 0, read);
+    /**
+     * The file, and the print of what was read of it last: its bytes may be too many to keep. Guards against a file that is
+     * replaced between a look at it and its reading, which would be taken twice.
+     */
+    private final class Summed implements Source {
+        private byte[] print;
+
+        @Override public InputStream open() throws IOException {
+            MessageDigest sum;
+            try {
+                sum = MessageDigest.getInstance("SHA-256");
+            } catch (NoSuchAlgorithmException e) {
+                throw new IllegalStateException("every Java has SHA-256", e);
             }
-            return digest.digest();
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
+            return new DigestInputStream(Files.newInputStream(file), sum) {
+                private boolean closed;
+
+                /** What its reader has left is read for the print. */
+                @Override public void close() throws IOException {
+                    if (!closed) {
+                        closed = true;
+                        transferTo(OutputStream.nullOutputStream());
+                        print = sum.digest();
+                        super.close();
+                    }
+                }
+            };
         }
     }
 
--- a/node/src/test/java/wrenreach/node/ReloadTest.java
+++ b/node/src/test/java/wrenreach/node/ReloadTest.java
@@ -68,6 +68,24 @@
         assertThat(ports).containsExactly(13);
     }
 
+    /** What is taken is what was read, also of a file that is replaced while it is looked at: once, and nothing is missed. */
+    @Test void aFileThatIsReplacedAtTheLookIsTakenOnce() throws IOException {
+        Reload reload = new Reload(config("127.0.0.1:51"), PATIENCE);
+        reload.tell(json -> {
+            if (ports.isEmpty()) {
+                config("127.0.0.1:52");
+            }
+            taken(json);
+        });
+        for (int i = 0; i < 3; i++) {
+            assertThat(reload.look()).isTrue();
+        }
+        assertThat(ports).containsExactly(52);
+        config("127.0.0.1:53");
+        assertThat(reload.look()).isTrue();
+        assertThat(ports).containsExactly(52, 53);
+    }
+
     /** Guards a node that was started with SIGHUP ignored (nohup, some supervisors): it follows the file itself. */
     @Test void aWatchedFileIsTakenWhenItChangesAndOnlyThen() throws Exception {
         Path file = config("127.0.0.1:21");
