Connections report on the event loop only; decisions leave their queue as they are carried out

Change: Connector is the one place that listens to a connect and reports in a task of the loop (attempts, notifications, discovery); a failed write, which a close reports at once, is put off too; answers are a queue drained to its end; enter() puts strangers on the loop and says so.

--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -92,7 +91,7 @@
     private final CallCodec codec;
     private final long idleFor;
     private final int idleLimit;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private final Map<Endpoint, Pool> pools = new IdentityHashMap<>();
     private final Map<Connect, Outgoing> out = new LinkedHashMap<>();
     private final Map<Route, Long> toldUntil = new IdentityHashMap<>();
@@ -110,10 +109,10 @@
         this.codec = new CallCodec(reportNames);
         this.idleFor = idleFor > 0 ? (long) (idleFor * IDLE_PART) : Long.MAX_VALUE;
         this.idleLimit = idleLimit;
-        bootstrap = new Bootstrap().group(loop).channelFactory(connecting)
+        connector = new Connector(loop, new Bootstrap().channelFactory(connecting)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        connectTimeout > 0 ? (int) Math.max(1, connectTimeout / 1000) : 30_000);
+                        connectTimeout > 0 ? (int) Math.max(1, connectTimeout / 1000) : 30_000), "attempts");
     }
 
     /** Where the endpoint listens from now on. */
@@ -166,19 +165,21 @@
         Link link = new Link(pool);
         link.call = call;
         call.link = link;
-        ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+        link.channel = connector.open(pool.address, new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(link.start, new HttpObjectAggregator(BODY_LIMIT),
                         new HttpRequestEncoder(), link);
             }
-        }).connect(pool.address);
-        link.channel = opening.channel();
-        opening.addListener(done -> {
-            if (!done.isSuccess()) {
+        }, new Connector.Listener() {
+            @Override public void connected(Channel channel) {
+                if (!call.over) {
+                    host.turn();
+                    carry(link, call);
+                }
+            }
+
+            @Override public void failed(boolean ofThisMachine) {
                 end(call, new Outcome.Unreached());
-            } else if (!call.over) {
-                host.turn();
-                carry(link, call);
             }
         });
     }
@@ -246,12 +247,17 @@
         link.channel.writeAndFlush(CallCodec.request(call.held.submission, host, budgetMs)).addListener(done -> {
             link.written = done.isSuccess();
             if (!done.isSuccess()) {
-                link.close();
-                end(call, new Outcome.Unreached());
+                // Closing a connection fails its unfinished write at once, in the middle of whoever closes it.
+                loop.execute(() -> unwritten(link, call));
             }
         });
     }
 
+    private void unwritten(Link link, Outgoing call) {
+        link.close();
+        end(call, new Outcome.Unreached());
+    }
+
     private void cut(Outgoing call) {
         boolean written = call.link != null && call.link.written;
         boolean waits = staged.contains(call);
--- /dev/null
+++ b/node/src/main/java/wrenreach/net/Connector.java
@@ -0,0 +1,91 @@
+package wrenreach.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoop;
+import java.lang.System.Logger.Level;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.util.concurrent.Future;
+import wrenreach.log.LogEvent;
+import wrenreach.log.Ration;
+
+/**
+ * Opens outgoing connections and reports what came of each in a task of the event loop of its own.
+ *
+ * <p>Netty reports a connection whose socket can't be made (ENFILE, ENOBUFS) on a thread that is not the loop's, and may report other
+ * failures before the call that asked has returned. Either way state that the loop owns would be changed in the middle of an
+ * iteration. Nothing but this class may listen to the future of a connect.
+ */
+final class Connector {
+    private static final System.Logger LOG = System.getLogger(Connector.class.getName());
+    /** Lines on failures of the own machine in that time, in microseconds; the rest is counted. */
+    private static final int LINES = 3;
+    private static final long WINDOW = 10_000_000;
+
+    /** Told in a task of the loop what came of one connection. */
+    interface Listener {
+        void connected(Channel channel);
+
+        /** ofThisMachine: the machine could not even try, which says nothing of the other side. */
+        void failed(boolean ofThisMachine);
+    }
+
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final String purpose;
+    private final Ration lines = new Ration(LINES, WINDOW);
+
+    /** bootstrap: group, channels and options of the connections; purpose: what they are for, as the log names it. */
+    Connector(EventLoop loop, Bootstrap bootstrap, String purpose) {
+        this.loop = loop;
+        this.bootstrap = bootstrap.group(loop);
+        this.purpose = purpose;
+    }
+
+    /** Begins a connection; the channel, so that it can be closed before it is up, or null where there is none. */
+    Channel open(InetSocketAddress to, ChannelInitializer<Channel> handlers, Listener listener) {
+        ChannelFuture opening = bootstrap.clone().handler(handlers).connect(to);
+        opening.addListener(done -> loop.execute(() -> report(to, opening, listener)));
+        // What Netty hands out in place of a channel that can't be made throws when it is closed.
+        return opening.channel().isRegistered() ? opening.channel() : null;
+    }
+
+    private void report(InetSocketAddress to, Future<?> opening, Listener listener) {
+        ChannelFuture over = (ChannelFuture) opening;
+        if (over.isSuccess()) {
+            listener.connected(over.channel());
+            return;
+        }
+        boolean ofThisMachine = isOfThisMachine(over.cause());
+        if (ofThisMachine && lines.may(loop.ticker().nanoTime() / 1000)) {
+            int unlisted = lines.leftOut();
+            LogEvent.tell(LOG, Level.WARNING, "connection.local", "{purpose}: this machine can't connect to {address}: {why}{more}", "purpose",
+                    purpose, "address", Addresses.text(to), "why", reason(over.cause()), "more",
+                    unlisted == 0 ? "" : "; " + unlisted + " more before it are not listed");
+        }
+        listener.failed(ofThisMachine);
+    }
+
+    /**
+     * Refused, no route and no answer are of the other side or the way there. The rest (no descriptors, no buffers, no free port, no
+     * network) is told by the own machine about itself.
+     */
+    static boolean isOfThisMachine(Throwable cause) {
+        boolean ofTheOther = cause instanceof ConnectException || cause instanceof NoRouteToHostException
+                || cause instanceof ConnectTimeoutException || reason(cause).contains("reset");
+        return !ofTheOther;
+    }
+
+    private static String reason(Throwable cause) {
+        Throwable root = cause;
+        while (root.getCause() != null) {
+            root = root.getCause();
+        }
+        return String.valueOf(root.getMessage());
+    }
+}
--- a/node/src/main/java/wrenreach/net/Discovery.java
+++ b/node/src/main/java/wrenreach/net/Discovery.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -74,7 +73,7 @@
     private final Host host;
     private final boolean again;
     private final Pauses pauses;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private final Patience patience;
     private InetSocketAddress address;
     private long index;
@@ -107,10 +106,10 @@
         this.index = index;
         this.again = again;
         pauses = new Pauses(patience.firstPause, patience.longestPause, seed);
-        bootstrap = new Bootstrap().group(loop).channelFactory(connecting)
+        connector = new Connector(loop, new Bootstrap().channelFactory(connecting)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new PacedReads(loop.ticker()))
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_MS);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_MS), "discovery");
     }
 
     /** Asks for changes from the last known version on, and for the whole list first where that is in doubt. */
@@ -178,21 +177,43 @@
     }
 
     private void ask(String path, boolean watch, ChannelInitializer<Channel> handlers) {
-        ChannelFuture opening = bootstrap.clone().handler(handlers).connect(address);
-        Channel channel = opening.channel();
-        open.add(channel);
-        opening.addListener(done -> {
-            if (!open.contains(channel)) {
-                channel.close();
-            } else if (!done.isSuccess()) {
-                open.remove(channel);
+        Opening opening = new Opening(address, path, watch);
+        opening.channel = connector.open(address, handlers, opening);
+        if (opening.channel != null) {
+            open.add(opening.channel);
+        }
+    }
+
+    /** A connection on its way up, and what is asked on it. */
+    private final class Opening implements Connector.Listener {
+        private final InetSocketAddress to;
+        private final String path;
+        private final boolean watch;
+        /** Null: its socket can't be made. */
+        private Channel channel;
+
+        Opening(InetSocketAddress to, String path, boolean watch) {
+            this.to = to;
+            this.path = path;
+            this.watch = watch;
+        }
+
+        @Override public void connected(Channel up) {
+            if (!open.contains(up)) {
+                up.close();
+                return;
+            }
+            DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+            get.headers().set(HttpHeaderNames.HOST, Addresses.text(to));
+            up.writeAndFlush(get);
+        }
+
+        @Override public void failed(boolean ofThisMachine) {
+            boolean wanted = channel == null ? to.equals(address) : open.remove(channel);
+            if (wanted) {
                 broken("no connection", watch);
-            } else {
-                DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
-                get.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
-                channel.writeAndFlush(get);
             }
-        });
+        }
     }
 
     private void broken(String why, boolean watch) {
--- a/node/src/main/java/wrenreach/net/Notices.java
+++ b/node/src/main/java/wrenreach/net/Notices.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -48,7 +47,7 @@
     private static final int BATCH = 200;
 
     private final EventLoop loop;
-    private final ChannelFactory<? extends Channel> connecting;
+    private final Connector connector;
     private final Consumer<HeldMail> heard;
     private final Pauses pauses;
     private final Set<HeldMail> untold = new LinkedHashSet<>();
@@ -70,7 +69,9 @@
     Notices(EventLoop loop, ChannelFactory<? extends Channel> connecting, InetSocketAddress address, Consumer<HeldMail> heard,
             Pauses pauses) {
         this.loop = loop;
-        this.connecting = connecting;
+        connector = new Connector(loop, new Bootstrap().channelFactory(connecting)
+                .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) LONGEST_ANSWER_MS), "completion notifications");
         this.address = address;
         this.heard = heard;
         this.pauses = pauses;
@@ -149,27 +150,31 @@
     private void open() {
         opening = true;
         InetSocketAddress to = address;
-        new Bootstrap().group(loop).channelFactory(connecting)
-                .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) LONGEST_ANSWER_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override protected void initChannel(Channel fresh) {
-                        fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_LIMIT),
-                                new Answers());
-                    }
-                }).connect(to).addListener(done -> {
-                    opening = false;
-                    if (!to.equals(address)) {
-                        ((ChannelFuture) done).channel().close();
-                        flush();
-                    } else if (done.isSuccess()) {
-                        channel = ((ChannelFuture) done).channel();
-                        kept = false;
-                        flush();
-                    } else {
-                        broken("no connection");
-                    }
-                });
+        connector.open(to, new ChannelInitializer<Channel>() {
+            @Override protected void initChannel(Channel fresh) {
+                fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_LIMIT), new Answers());
+            }
+        }, new Connector.Listener() {
+            @Override public void connected(Channel fresh) {
+                opening = false;
+                if (to.equals(address)) {
+                    channel = fresh;
+                    kept = false;
+                } else {
+                    fresh.close();
+                }
+                flush();
+            }
+
+            @Override public void failed(boolean ofThisMachine) {
+                opening = false;
+                if (to.equals(address)) {
+                    broken("no connection");
+                } else {
+                    flush();
+                }
+            }
+        });
     }
 
     /** Guards endings while the platform can't be reached: they stay, and go again after a short pause. */
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -6,7 +6,8 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -96,7 +97,8 @@
     private final HeldMails held;
     /** Mails in their first turn and who waits for the answer. */
     private final Map<HeldMail, Asker> fresh = new LinkedHashMap<>();
-    private final List<Answer> answers = new ArrayList<>();
+    /** Decisions that are to be carried out, in their order. Each leaves the queue as it is carried out, and not before. */
+    private final Deque<Answer> answers = new ArrayDeque<>();
     private final Subsystems subsystems = new Subsystems();
     private final CompletableFuture<InetSocketAddress> serving = new CompletableFuture<>();
     private final CompletableFuture<Integer> stopped = new CompletableFuture<>();
@@ -394,10 +396,10 @@
         if (sending && (now >= listBy || discovery.refuses())) {
             answers.addAll(module.next(now));
         }
-        for (Answer answer : List.copyOf(answers)) {
+        // What is decided while decisions are carried out joins the queue: none is dropped.
+        for (Answer answer = answers.poll(); answer != null; answer = answers.poll()) {
             carryOut(answer);
         }
-        answers.clear();
         fresh.forEach((mail, asked) -> {
             journal.taken(mail);
             if (subsystems.hears()) {
@@ -482,7 +484,7 @@
     // ---- Clients ----
 
     @Override public void asked(Door.Asked asked) {
-        told(() -> answer(asked));
+        enter(() -> answer(asked));
     }
 
     private void answer(Door.Asked asked) {
@@ -497,7 +499,7 @@
     }
 
     @Override public void handIn(Submission s, long lifetimeMs, Asker asked) {
-        told(() -> judge(s, lifetimeMs, asked));
+        enter(() -> judge(s, lifetimeMs, asked));
     }
 
     private void judge(Submission s, long lifetimeMs, Asker asked) {
@@ -586,7 +588,7 @@
     }
 
     @Override public void ended(HeldMail mail, Connect connect, Outcome outcome, double[] report, boolean over) {
-        told(() -> conclude(mail, connect, outcome, report, over));
+        enter(() -> conclude(mail, connect, outcome, report, over));
     }
 
     private void conclude(HeldMail mail, Connect connect, Outcome outcome, double[] report, boolean over) {
@@ -610,14 +612,23 @@
     }
 
     private void heard(HeldMail mail) {
-        told(() -> {
+        enter(() -> {
             turn();
             forget(mail);
         });
     }
 
-    /** Guards mails against a decision broken off in the middle: by itself that only closes the connection that brought it. */
-    private void told(Runnable news) {
+    /**
+     * The way into the loop's state for all that the sockets bring. Other threads are put on the loop, and named: two at a time would
+     * lose decisions. A throw in the middle of a decision ends the node: by itself it only closes the connection that brought it.
+     */
+    private void enter(Runnable news) {
+        if (!loop.inEventLoop()) {
+            LogEvent.tell(LOG, Level.ERROR, "loop.stranger", "a defect, report this line: thread {thread} brought news that only the event loop may "
+                    + "bring; they are put on the loop", "thread", Thread.currentThread().getName());
+            loop.execute(() -> enter(news));
+            return;
+        }
         try {
             news.run();
         } catch (RuntimeException | Error e) {
@@ -647,7 +658,7 @@
             @Override public void end(long index, boolean whole) throws IOException {
                 turn();
                 super.end(index, whole);
-                told(() -> discovered(whole));
+                enter(() -> discovered(whole));
             }
         };
     }
