What this machine fails in opens no breaker; accepts go on at once; logs name messages and reasons

Cause: a connect that the own machine could not make (ENFILE, EADDRNOTAVAIL, ENETUNREACH) counted as the receiver's failure and as an attempt; after a failed accept Netty rests a second; the logs named no message, close or refusal. Change: outcome LocalFault (no breaker, no attempt, backoff with jitter in LocalFaultBackoff), AcceptFaults pauses 5 ms, a door that can't get a socket tries for 10 s, logger wrenreach.message (refusals, failed attempts, endings with reason; rationed), reasons of client closes counted, an audit that ends and names what the decisions alone took for ended.

--- /dev/null
+++ b/app/src/test/java/wrenreach/app/SystemCallFaultsTest.java
@@ -0,0 +1,77 @@
+package wrenreach.app;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Processes whose machine fails their system calls, in the ways that Linux documents. */
+@Execution(ExecutionMode.CONCURRENT)
+class SystemCallFaultsTest {
+    @TempDir Path folder;
+
+    private LabRun play(int rate, String... faults) throws Exception {
+        return LabRun.play(folder, Files.writeString(folder.resolve("faults.toml"), """
+                [experiment]
+                about = "Failing system calls"
+                seeds = 1
+                [fleet]
+                nodes = 1
+                destinations = 2
+                endpoints = 2
+                [traffic]
+                rate = %d
+                length = "6s"
+                classes = ["order tagged importance 1 target 1000 lifetime 2500 share 1"]
+                [faults]
+                schedule = [%s]
+                """.formatted(rate, Stream.of(faults).map(one -> '"' + one + '"').collect(Collectors.joining(", ")))));
+    }
+
+    private static int number(String log, String before) {
+        int at = log.lastIndexOf(before) + before.length();
+        return Integer.parseInt(log.substring(at).replaceFirst("\\D.*", "").lines().findFirst().orElseThrow());
+    }
+
+    /** All rules hold, and the faults did strike. */
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {
+        "CONNECT; connect_fails 0 0.2 at 500 for 5000, reset nodes-receivers 0.5 at 700 for 1 every 60",
+        "ACCEPT; accept_fails 0 0.2 at 500 for 5000",
+        "TRANSFER; transfer_fails 0 0.02 at 500 for 5000",
+        "SHORT; short_transfers 0 0.7 at 500 for 5000",
+        "WAIT; waits_interrupted 0 0.5 at 500 for 5000",
+        "SOCKET; socket_fails 0 0.3 at 500 for 5000, kill 0 at 1500 for 300, stop 0 at 3000 for 300"})
+    void theRulesHold(String call, String faults) throws Exception {
+        LabRun run = play(40, faults.split(", "));
+        assertThat(run.code()).as(run.said()).isZero();
+        assertThat(number(run.log("1-1/n0.log"), "made to fail so far: " + call + " ")).as("faults that struck").isPositive();
+    }
+
+    /** The next accept follows at once: one in five that fails costs clients a second try, not a second of silence. */
+    @Test void clientsAreAcceptedAgainAtOnce() throws Exception {
+        LabRun run = play(60, "accept_fails 0 0.2 at 300 for 5700");
+        assertThat(run.code()).as(run.said()).isZero();
+        String timeline = run.log("1-1/timeline.txt");
+        long accepted = timeline.lines().filter(line -> line.contains("answer=OK")).count();
+        long unanswered = timeline.lines().filter(line -> line.contains("answer=NONE")).count();
+        assertThat(unanswered).as("unanswered, of " + accepted + " accepted").isLessThan(accepted / 2);
+    }
+
+    /** What this machine fails in is held against no receiver. */
+    @Test void breakersOfHealthyReceiversStayClosed() throws Exception {
+        LabRun run = play(40, "connect_fails 0 0.4 at 300 for 5700", "reset nodes-receivers 0.2 at 700 for 1 every 200");
+        assertThat(run.code()).as(run.said()).isZero();
+        String log = run.log("1-1/n0.log");
+        assertThat(number(log, "made to fail so far: CONNECT ")).isGreaterThan(10);
+        assertThat(log).doesNotContain("breaker opened by Unreached", "breaker opened by LocalFault");
+    }
+}
--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -66,6 +66,7 @@
     private final double[] quota, quotaTokens;
     private final long[] quotaAt;
     private final int[] roomy;
+    private final LocalFaultBackoff localFaults;
 
     private final List<Destination> known = new ArrayList<>();
     /** Those with mails in line or calls out: all that a turn walks. */
@@ -109,6 +110,7 @@
         overload = s.rules().overloadFactor();
         orderSettle = s.rules().orderSettle();
         target = classes.stream().mapToLong(Settings.QueueClass::targetDelay).min().orElse(SECOND);
+        localFaults = new LocalFaultBackoff(target);
         longest = classes.stream().mapToLong(Settings.QueueClass::lifetime).max().orElse(SECOND);
     }
 
@@ -145,7 +147,7 @@
         long inLine = wait - expectedWait(mail.to, 0, now);
         if (now + wait + usualOf(mail.to) > mail.endsBy
                 || inLine > (first ? LINE_FIRST : LINE_BEHIND) * kind.targetDelay()) {
-            end(mail, wait, now);
+            end(mail, wait, EndReason.QUEUE_TOO_LONG, now);
         } else if (held > heldLimit - Math.max(1, heldLimit / ROOM_PART)) {
             makeRoom(now);
         }
@@ -158,6 +160,11 @@
         }
         Mail mail = c.mail;
         close(c, outcome, now);
+        if (outcome instanceof Outcome.LocalFault) {
+            attemptNotMade(c, now);
+            return take();
+        }
+        localFaults.worked();
         hear(c.endpoint, report, now);
         // Guards the wait rule: each mail of a call brings its own wait, some a tick later than the first.
         if (outcome instanceof Outcome.Full full && full.pause() > 0) {
@@ -179,6 +186,31 @@
         return take();
     }
 
+    /**
+     * This machine could not make the attempt. It is taken back: breaker, rate and the message's number of attempts are as before it.
+     * Where a copy of the message was begun after it, it keeps its number and so counts.
+     */
+    private void attemptNotMade(Connect c, long now) {
+        Mail mail = c.mail;
+        Route route = c.endpoint.route;
+        if (route.breaker.trial == c) {
+            route.breaker.trial = null;
+        }
+        if (!c.call.counted) {
+            c.call.counted = true;
+            route.tokens++;
+        }
+        if (mail.connects.get(mail.connects.size() - 1) == c) {
+            mail.connects.remove(mail.connects.size() - 1);
+        }
+        long wait = localFaults.failed(chance(mail.id));
+        if (!mail.over && mail.out == 0) {
+            again(mail, new Outcome.LocalFault(), now);
+            mail.notBefore = Math.max(mail.notBefore, now + wait);
+        }
+        leaveKey(mail);
+    }
+
     @Override public List<Answer> withdrawn(Mail mail, long now) {
         finish(mail);
         leaveKey(mail);
@@ -315,7 +347,7 @@
             }
         }
         if (worst != null) {
-            end(worst, (long) most, now);
+            end(worst, (long) most, EndReason.NO_ROOM, now);
         }
     }
 
@@ -1018,8 +1050,10 @@
     // ---- Further connects and endings ----
 
     private void again(Mail m, Outcome outcome, long now) {
-        if (m.connects.size() >= tries || now + usualOf(m.to) > m.endsBy || !repeatable(m, now)) {
-            end(m, 0, now);
+        EndReason reason = m.connects.size() >= tries ? EndReason.ATTEMPTS_USED_UP
+                : now + usualOf(m.to) > m.endsBy ? EndReason.DEADLINE : repeatable(m, now) ? null : EndReason.REPEAT_WINDOW_OVER;
+        if (reason != null) {
+            end(m, 0, reason, now);
             return;
         }
         // Guards a down receiver against quick tries of many nodes, each too few to open a breaker: a failed
@@ -1051,9 +1085,11 @@
                 Mail m = d.line.get(i);
                 // Guards mails whose tries an earlier process has used up: they end at once. And endings of a node that is
                 // short of its core: they come before their time by as much as its wakes came after theirs.
-                if (now + 3 * tick + late >= m.endsBy || m.connects.size() >= tries
-                        || ranMaybe(m) && !repeatable(m, now)) {
-                    end(m, expectedWait(d, 0, now), now);
+                EndReason reason = now + 3 * tick + late >= m.endsBy ? EndReason.DEADLINE
+                        : m.connects.size() >= tries ? EndReason.ATTEMPTS_USED_UP
+                        : ranMaybe(m) && !repeatable(m, now) ? EndReason.REPEAT_WINDOW_OVER : null;
+                if (reason != null) {
+                    end(m, expectedWait(d, 0, now), reason, now);
                 } else {
                     later(m.endsBy - 3 * tick - late, now);
                     later(owedTry(m) ? lastTryAt(m) : now, now);
@@ -1071,12 +1107,12 @@
     }
 
     /** The door of every ending. */
-    private void end(Mail m, long wait, long now) {
+    private void end(Mail m, long wait, EndReason reason, long now) {
         if (m.over) {
             return;
         }
         long after = Math.min(wait, retryAfterLimit);
-        answers.add(mayDefer(m, now) ? new Answer.Defer(m, after) : new Answer.Bounce(m));
+        answers.add(mayDefer(m, now) ? new Answer.Defer(m, after, reason) : new Answer.Bounce(m, reason));
         finish(m);
         leaveKey(m);
     }
--- a/decisions/src/main/java/wrenreach/api/Answer.java
+++ b/decisions/src/main/java/wrenreach/api/Answer.java
@@ -13,10 +13,18 @@
     record Revoke(Connect connect) implements Answer { }
 
     /** End the mail undelivered; handing it in again is harmless. retryAfter 0: no advice. */
-    record Defer(Mail mail, long retryAfter) implements Answer { }
+    record Defer(Mail mail, long retryAfter, EndReason reason) implements Answer {
+        public Defer(Mail mail, long retryAfter) {
+            this(mail, retryAfter, EndReason.UNKNOWN);
+        }
+    }
 
     /** End the mail for good. */
-    record Bounce(Mail mail) implements Answer { }
+    record Bounce(Mail mail, EndReason reason) implements Answer {
+        public Bounce(Mail mail) {
+            this(mail, EndReason.UNKNOWN);
+        }
+    }
 
     /** Call next() again after this long. */
     record Wake(long delay) implements Answer { }
--- a/decisions/src/main/java/wrenreach/api/Outcome.java
+++ b/decisions/src/main/java/wrenreach/api/Outcome.java
@@ -36,6 +36,13 @@
     /** Revoked by the node. */
     record CalledOff() implements Outcome { }
 
+    /** This machine could not make the attempt: that says nothing of the endpoint, and the attempt does not count. */
+    record LocalFault() implements Outcome {
+        @Override public boolean neverRan() {
+            return true;
+        }
+    }
+
     /** It never left the node. */
     record NotSent(boolean noSlot) implements Outcome {
         @Override public boolean neverRan() {
--- a/lab/src/main/java/wrenreach/lab/Baseline.java
+++ b/lab/src/main/java/wrenreach/lab/Baseline.java
@@ -100,7 +100,7 @@
         breaker.trial = trial ? null : breaker.trial;
         boolean ok = outcome instanceof Outcome.Relayed;
         if (breakerRest == 0 || outcome instanceof Outcome.Full || outcome instanceof Outcome.CalledOff
-                || outcome instanceof Outcome.NotSent) {
+                || outcome instanceof Outcome.NotSent || outcome instanceof Outcome.LocalFault) {
             return;
         }
         if (breaker.phase == Breaker.Phase.HALF_OPEN) {
--- a/node/src/main/java/wrenreach/held/HeldMails.java
+++ b/node/src/main/java/wrenreach/held/HeldMails.java
@@ -56,6 +56,11 @@
         return byMail.get(mail);
     }
 
+    /** Accepted messages that are over for the decisions, with no attempt out, and that have no ending here. */
+    public List<HeldMail> endedByDecisionsOnly() {
+        return byMail.values().stream().filter(held -> held.owed && held.ending == null && held.mail.over && held.mail.out == 0).toList();
+    }
+
     public int size() {
         return byId.size();
     }
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -179,7 +179,7 @@
             }
 
             @Override public void failed(boolean ofThisMachine) {
-                end(call, new Outcome.Unreached());
+                end(call, ofThisMachine ? new Outcome.LocalFault() : new Outcome.Unreached());
             }
         });
     }
--- a/node/src/main/java/wrenreach/net/Door.java
+++ b/node/src/main/java/wrenreach/net/Door.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.redis.RedisBulkStringAggregator;
 import io.netty.handler.codec.redis.RedisDecoder;
 import io.netty.handler.codec.redis.RedisEncoder;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -41,6 +42,8 @@
     /** For how long a client's connection is read on after its last answer, and one in how many may be at once. */
     private static final long LINGER_MS = 250;
     private static final int LINGER_PART = 16;
+    /** For how long a socket to listen on is tried for, and between two tries. */
+    private static final long LISTEN_PATIENCE_MS = 10_000, LISTEN_AGAIN_MS = 50;
     /** Requests that one client may have open: the protocol's clients have one. */
     private static final int OPEN_LIMIT = 64;
 
@@ -84,6 +87,7 @@
     /** The others, least lately used first. */
     private final Set<Client> clients = new LinkedHashSet<>();
     private final List<Client> asking = new ArrayList<>();
+    private final ClosedConnections closed = new ClosedConnections();
     private Channel listener;
     private boolean closing;
     /** Connections that have had their last answer and are read on for a while. */
@@ -98,13 +102,43 @@
         this.limit = Math.max(1, limit - limit / LINGER_PART);
     }
 
-    public ChannelFuture open(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(listening)
+    /** Told in tasks of the loop whether the door is open. */
+    public interface Opening {
+        void opened(InetSocketAddress at);
+
+        /** The address can't be listened on, or no socket could be made for as long as one is tried for. */
+        void failed(Throwable why);
+    }
+
+    /** Listens on the address; where the machine can't make a socket just now it tries again for some seconds. */
+    public void open(InetSocketAddress address, Opening opening) {
+        closeOverdueLater();
+        listen(address, opening, nanos() + TimeUnit.MILLISECONDS.toNanos(LISTEN_PATIENCE_MS));
+    }
+
+    private void listen(InetSocketAddress address, Opening opening, long until) {
+        ChannelFuture bound = bind(address);
+        bound.addListener(done -> loop.next().execute(() -> {
+            if (bound.isSuccess()) {
+                listener = bound.channel();
+                opening.opened((InetSocketAddress) listener.localAddress());
+            } else if (!closing && !(bound.cause() instanceof BindException) && nanos() < until) {
+                // No descriptors or buffers: that passes, and says nothing of the address.
+                loop.next().schedule(() -> listen(address, opening, until), LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
+            } else {
+                opening.failed(bound.cause());
+            }
+        }));
+    }
+
+    private ChannelFuture bind(InetSocketAddress address) {
+        return new ServerBootstrap().group(loop).channelFactory(listening)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 // Guards clients behind a crowd that connects at once: a few looks take in all of them.
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
+                .handler(new AcceptFaults())
                 .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Guards memory: what is read of an unfinished request is kept in the buffers it came in. Reads
@@ -122,9 +156,14 @@
                         channel.pipeline().addLast(client.guard).addLast(codecs(BODY_LIMIT)).addLast(client);
                     }
                 }).bind(address);
-        listener = bound.channel();
-        loop.next().scheduleWithFixedDelay(this::closeOverdue, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-        return bound;
+    }
+
+    /** By single tasks: what a repeated one throws is told to nobody, and it is not repeated any more. */
+    private void closeOverdueLater() {
+        loop.next().schedule(() -> {
+            closeOverdueLater();
+            closeOverdue();
+        }, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Between a client's bytes and requests and replies. */
@@ -149,8 +188,8 @@
             if (listener != null) {
                 listener.close();
             }
-            new ArrayList<>(silent).forEach(Client::retire);
-            new ArrayList<>(clients).forEach(Client::retire);
+            new ArrayList<>(silent).forEach(client -> client.retire(ClosedConnections.Reason.SHUTDOWN));
+            new ArrayList<>(clients).forEach(client -> client.retire(ClosedConnections.Reason.SHUTDOWN));
         });
     }
 
@@ -163,7 +202,7 @@
             if (client.guard.midway() && client.guard.begun() < asksBy) {
                 client.giveUp();
             } else if (!client.guard.midway() && client.since < idleSince) {
-                client.retire();
+                client.retire(ClosedConnections.Reason.IDLE);
             }
         }
     }
@@ -189,7 +228,7 @@
         if (among.size() > most) {
             Iterator<Client> oldest = new ArrayList<>(among).iterator();
             while (among.size() > most && oldest.hasNext()) {
-                oldest.next().retire();
+                oldest.next().retire(ClosedConnections.Reason.TOO_MANY_CONNECTIONS);
             }
         }
     }
@@ -205,6 +244,7 @@
         /** It sends nothing any more. */
         private boolean left;
         private boolean lingers;
+        private ClosedConnections.Reason reason = ClosedConnections.Reason.CLOSED_BY_CLIENT;
 
         @Override public void channelActive(ChannelHandlerContext context) {
             ctx = context;
@@ -212,7 +252,7 @@
             makeRoom();
             if (closing) {
                 // It has not been read from yet.
-                Due.after(loop.next(), 0, this::retire);
+                Due.after(loop.next(), 0, () -> retire(ClosedConnections.Reason.SHUTDOWN));
             }
         }
 
@@ -250,10 +290,11 @@
 
         private void flushReplies() {
             boolean close = closing || left;
+            boolean unreadable = false;
             for (Asked asked : open) {
                 if (asked.reply != null && !closed) {
                     ctx.write(asked.reply);
-                    close |= asked.reply instanceof Reply.Error error && error.close();
+                    unreadable |= asked.reply instanceof Reply.Error error && error.close();
                 }
             }
             open.clear();
@@ -261,8 +302,9 @@
             if (!closed) {
                 ctx.flush();
             }
-            if (close) {
-                closeIfIdle(true);
+            if (close || unreadable) {
+                closeIfIdle(true, unreadable ? ClosedConnections.Reason.UNREADABLE
+                        : left ? ClosedConnections.Reason.CLOSED_BY_CLIENT : ClosedConnections.Reason.SHUTDOWN);
             }
         }
 
@@ -271,9 +313,9 @@
             if (guard.midway() && open.isEmpty()) {
                 ctx.writeAndFlush(new Reply.Error("request took too long", true));
                 guard.whole();
-                closeIfIdle(true);
+                closeIfIdle(true, ClosedConnections.Reason.REQUEST_TOO_SLOW);
             } else {
-                retire();
+                retire(ClosedConnections.Reason.REQUEST_TOO_SLOW);
             }
         }
 
@@ -281,7 +323,7 @@
          * Closes it unless a request has come by now: what is scheduled runs after one more look at the sockets. Guards
          * requests that wait unread while the node is short of its core; answered by a close, they are lost.
          */
-        private void retire() {
+        private void retire(ClosedConnections.Reason why) {
             retiring = true;
             boolean asked = clients.remove(this);
             silent.remove(this);
@@ -289,17 +331,18 @@
                 if (retiring && !closed && guard.midway()) {
                     (asked ? clients : silent).add(this);
                 } else if (retiring) {
-                    closeIfIdle(closing);
+                    closeIfIdle(closing, why);
                 }
                 retiring = false;
             }, 0, TimeUnit.NANOSECONDS);
         }
 
         /** answered: it may not have read its last answer yet. */
-        private void closeIfIdle(boolean answered) {
+        private void closeIfIdle(boolean answered, ClosedConnections.Reason why) {
             boolean reads = guard.midway() && clients.contains(this);
             if (open.isEmpty() && !closed && !reads) {
                 closed = true;
+                reason = why;
                 guard.stop();
                 silent.remove(this);
                 clients.remove(this);
@@ -323,6 +366,7 @@
         }
 
         @Override public void channelInactive(ChannelHandlerContext context) {
+            Door.this.closed.count(reason, open.size(), nanos() / 1000);
             closed = true;
             lingering -= lingers ? 1 : 0;
             lingers = false;
@@ -335,6 +379,7 @@
             if (cause instanceof DecoderException && !closed) {
                 channelRead0(context, new Request.Unreadable("malformed request", true));
             } else {
+                reason = ClosedConnections.Reason.BROKEN;
                 context.close();
             }
         }
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -1,6 +1,5 @@
 package wrenreach.node;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
@@ -16,6 +15,7 @@
 import java.util.function.Function;
 import wrenreach.api.Answer;
 import wrenreach.api.Dispatcher;
+import wrenreach.api.EndReason;
 import wrenreach.api.Listing;
 import wrenreach.api.Outcome;
 import wrenreach.api.Settings;
@@ -72,6 +72,8 @@
     private static final int RESERVE = 256 * 1024;
     /** Lines on breakers in that time; where more receivers fail at once, staff act on the number. */
     private static final int BREAKER_LINES = 10;
+    /** Between two looks whether the decisions and the node agree on what is owed, in microseconds. */
+    private static final long AUDIT_EVERY = 1_000_000;
     /** How long one line on refusals for disk stands for those that follow. */
     private static final long QUIET = 10_000_000;
 
@@ -112,6 +114,8 @@
     private long behind = PATIENCE;
     private long wallAhead;
     private long quietUntil;
+    private final MessageLog messages = new MessageLog();
+    private long auditedAt;
     private final Ration breakerLines = new Ration(BREAKER_LINES, QUIET);
     private boolean doorOpen;
     private boolean stopsAfterTurn;
@@ -315,15 +319,19 @@
         }
         endTurn();
         doorOpen = true;
-        ChannelFuture listening = door.open(config.listen());
-        listening.addListener(done -> {
-            if (done.isSuccess()) {
+        door.open(config.listen(), new Door.Opening() {
+            @Override public void opened(InetSocketAddress at) {
+                if (phase != Phase.RECOVERING) {
+                    return; // It has been told to stop meanwhile.
+                }
                 move(Phase.SERVING);
                 subsystems.each(Running::serving);
-                serving.complete((InetSocketAddress) listening.channel().localAddress());
-            } else {
-                LogEvent.tell(LOG, Level.ERROR, "door.closed", "can't listen on {address}: {why}",
-                        "address", Addresses.text(config.listen()), "why", done.cause().getMessage());
+                serving.complete(at);
+            }
+
+            @Override public void failed(Throwable why) {
+                LogEvent.tell(LOG, Level.ERROR, "door.closed", "can't listen on {address}: {why}", "address", Addresses.text(config.listen()),
+                        "why", why.getMessage());
                 finish(1);
             }
         });
@@ -400,6 +408,7 @@
         for (Answer answer = answers.poll(); answer != null; answer = answers.poll()) {
             carryOut(answer);
         }
+        audit();
         fresh.forEach((mail, asked) -> {
             journal.taken(mail);
             if (subsystems.hears()) {
@@ -419,9 +428,9 @@
         } else if (answer instanceof Answer.Revoke revoke) {
             calls.revoke(revoke.connect());
         } else if (answer instanceof Answer.Defer defer) {
-            end(held.of(defer.mail()), new Ending(true, (defer.retryAfter() + 999) / 1000));
+            end(held.of(defer.mail()), new Ending(true, (defer.retryAfter() + 999) / 1000), defer.reason());
         } else if (answer instanceof Answer.Bounce bounce) {
-            end(held.of(bounce.mail()), new Ending(false, 0));
+            end(held.of(bounce.mail()), new Ending(false, 0), bounce.reason());
         } else if (answer instanceof Answer.Wake wake) {
             Due.after(loop, wake.delay(), this::turn);
         } else if (answer instanceof Answer.Release release) {
@@ -439,16 +448,33 @@
         }
     }
 
-    private void end(HeldMail mail, Ending ending) {
+    /**
+     * Compares what the decisions take for ended with what the node has heard of, once in a while. A decision that was lost on its way
+     * would otherwise leave its message owed for as long as the process lives, with nobody told.
+     */
+    private void audit() {
+        if (now - auditedAt < AUDIT_EVERY) {
+            return;
+        }
+        auditedAt = now;
+        for (HeldMail message : held.endedByDecisionsOnly()) {
+            messages.decisionLost(message, now);
+            end(message, new Ending(false, 0), EndReason.DECISION_LOST);
+        }
+    }
+
+    private void end(HeldMail mail, Ending ending, EndReason reason) {
         if (mail == null || mail.ending != null) {
             return;
         }
         Asker asked = fresh.remove(mail);
         if (asked != null) {
+            messages.refused(mail.submission, reason.toString(), now);
             asked.answer(ending.deferred() ? new Reply.Busy(ending.retryAfterMs())
                     : new Reply.Error("undeliverable", false));
             forget(mail);
         } else {
+            messages.ended(mail, ending, reason, now);
             journal.ended(mail, ending);
             triedAtLast(mail, false);
             notices.add(mail);
@@ -507,6 +533,7 @@
         endpoints.use(s.destination(), now);
         String wrong = held.objection(s);
         if (wrong != null) {
+            messages.refused(s, wrong, now);
             asked.answer(new Reply.Error(wrong, false));
             return;
         }
@@ -517,7 +544,11 @@
         if (held.holds(s.id())) {
             // Guards a request sent once more on a new connection: it is owed already. One that is still open is
             // another client's, who gets the answer.
-            asked.answer(held.owes(s.id()) ? new Reply.Taken() : new Reply.Error("id in use", false));
+            boolean owed = held.owes(s.id());
+            if (!owed) {
+                messages.refused(s, "id in use", now);
+            }
+            asked.answer(owed ? new Reply.Taken() : new Reply.Error("id in use", false));
             return;
         }
         if (journal.remembers(s.id())) {
@@ -531,6 +562,7 @@
             LogEvent.tell(LOG, Level.WARNING, "disk.full", "refused for disk: {held} mails held", "held", held.size());
         }
         if (!fits || held.size() >= settings.heldLimit() || !doorOpen) {
+            messages.refused(s, !fits ? "no room in the state folder" : doorOpen ? "as many messages as may be pending" : "shutting down", now);
             asked.answer(new Reply.Busy(0));
             return;
         }
@@ -597,11 +629,14 @@
             subsystems.happened(new NodeEvent.ConnectEnded(mail.submission.id(), connect.number,
                     name(connect.endpoint), outcome, now));
         }
+        if (!(outcome instanceof Outcome.Relayed)) {
+            messages.attemptFailed(mail, connect.number, name(connect.endpoint), outcome, now);
+        }
         boolean inJournal = mail.connects.stream().anyMatch(past -> past.number() == connect.number);
         if (over && mail.ending == null) {
             ended(mail, NodeEvent.End.RELAYED, 0);
             forget(mail);
-        } else if (outcome.neverRan() && mail.owed) {
+        } else if (outcome.neverRan() && mail.owed && (inJournal || !(outcome instanceof Outcome.LocalFault))) {
             if (inJournal) {
                 journal.neverRan(mail, connect.number);
             } else {
--- /dev/null
+++ b/node/src/main/java/wrenreach/node/MessageLog.java
@@ -0,0 +1,86 @@
+package wrenreach.node;
+
+import java.lang.System.Logger.Level;
+import java.util.EnumMap;
+import java.util.Map;
+import wrenreach.api.EndReason;
+import wrenreach.api.Outcome;
+import wrenreach.held.Ending;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Submission;
+import wrenreach.log.LogEvent;
+import wrenreach.log.Ration;
+
+/**
+ * What became of single messages, for those who look into an incident: refusals, attempts that did not deliver, endings other than a
+ * delivery, and decisions that were not carried out, each with its reason.
+ *
+ * <p>Lines of each kind are rationed, and those left out are counted in the next one; with the level of {@code wrenreach.message} at
+ * DEBUG (FINE) all are written. Used on the node's event loop only.
+ */
+final class MessageLog {
+    private static final System.Logger LOG = System.getLogger("wrenreach.message");
+    /** Lines of one kind in that time, in microseconds. */
+    private static final int LINES = 60;
+    private static final long WINDOW = 10_000_000;
+
+    private enum Kind { REFUSED, ATTEMPT, ENDED, DEFECT }
+
+    private final Map<Kind, Ration> rations = new EnumMap<>(Kind.class);
+
+    MessageLog() {
+        for (Kind kind : Kind.values()) {
+            rations.put(kind, new Ration(LINES, WINDOW));
+        }
+    }
+
+    /** A request was not accepted. */
+    void refused(Submission submission, String why, long now) {
+        if (may(Kind.REFUSED, now)) {
+            LogEvent.tell(LOG, Level.INFO, "message.refused", "message {id}: refused: {why}{more}", "id", submission.id(), "destination",
+                    submission.destination(), "why", why, "more", more(Kind.REFUSED));
+        }
+    }
+
+    /** An attempt ended and did not deliver the message. */
+    void attemptFailed(HeldMail message, int number, String endpoint, Outcome outcome, long now) {
+        if (may(Kind.ATTEMPT, now)) {
+            LogEvent.tell(LOG, Level.INFO, "message.attempt", "message {id}: attempt {number} at {endpoint} failed: {outcome}{more}", "id",
+                    message.submission.id(), "key", message.submission.key(), "destination", message.submission.destination(), "number",
+                    number, "endpoint", endpoint, "outcome", name(outcome), "more", more(Kind.ATTEMPT));
+        }
+    }
+
+    /** An accepted message ended undelivered; the platform is to be told. */
+    void ended(HeldMail message, Ending ending, EndReason reason, long now) {
+        if (may(Kind.ENDED, now)) {
+            LogEvent.tell(LOG, Level.INFO, "message.ended", "message {id}: ended {status} after {attempts} attempts: {reason}{more}", "id",
+                    message.submission.id(), "key", message.submission.key(), "destination", message.submission.destination(), "status",
+                    ending.deferred() ? "deferred" : "undeliverable", "attempts", message.connects.size(), "reason", reason,
+                    "more", more(Kind.ENDED));
+        }
+    }
+
+    /** The decisions take the message for ended, and the node was never told: its key has gone on without it. */
+    void decisionLost(HeldMail message, long now) {
+        if (may(Kind.DEFECT, now)) {
+            LogEvent.tell(LOG, Level.ERROR, "message.lost", "a defect, report this line: message {id} of key {key} was ended by the decisions and "
+                    + "the node was not told; it ends undeliverable{more}", "id", message.submission.id(), "key", message.submission.key(),
+                    "destination", message.submission.destination(), "more", more(Kind.DEFECT));
+        }
+    }
+
+    private boolean may(Kind kind, long now) {
+        return LOG.isLoggable(Level.DEBUG) || rations.get(kind).may(now);
+    }
+
+    private String more(Kind kind) {
+        int unlisted = rations.get(kind).leftOut();
+        return unlisted == 0 ? "" : "; " + unlisted + " more before it are not listed";
+    }
+
+    private static String name(Outcome outcome) {
+        return outcome instanceof Outcome.Full full && full.pause() > 0 ? "Full, retry after " + full.pause() / 1000 + " ms"
+                : outcome.getClass().getSimpleName();
+    }
+}
--- a/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -4,6 +4,7 @@
 
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -18,6 +19,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,6 +27,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import wrenreach.Choice;
+import wrenreach.api.Answer;
+import wrenreach.api.Dispatcher;
+import wrenreach.api.Settings;
 import wrenreach.held.Ending;
 import wrenreach.held.HeldMail;
 import wrenreach.held.Journal;
@@ -46,6 +51,7 @@
     private int weight = 10;
     /** Whether discovery takes watches and says nothing. */
     private volatile boolean mute;
+    private Function<Settings, Dispatcher> module = Choice::new;
     private DeliveryNode node;
 
     @BeforeEach void listen() throws IOException {
@@ -89,7 +95,7 @@
                 .replace("512", Integer.toString(descriptors)).replace("\"TryLimit\": 4", "\"TryLimit\": 40")
                 .replace("\"weight\": 10", "\"weight\": " + weight);
         Config config = Config.parse(json.getBytes(StandardCharsets.UTF_8), Map.of());
-        node = new DeliveryNode(config, Journal.open(state, config.diskBytes()), Choice::new);
+        node = new DeliveryNode(config, Journal.open(state, config.diskBytes()), module);
         node.start();
         return node.serving().get(20, TimeUnit.SECONDS);
     }
@@ -487,6 +493,24 @@
         owedNothing();
     }
 
+    /** A decision that is lost on its way leaves no message owed for ever: the platform is told, if late. */
+    @Test void aMessageThatOnlyTheDecisionsTakeForEndedIsFoundAndEnded() throws Exception {
+        answer = 500;
+        effect = "side_effect";
+        module = settings -> dropsEndings(new Choice(settings));
+        InetSocketAddress at = start();
+        assertThat(ask(at, enqueue("b1", "c=order,t=shop,d=9000,dest=1"), 1)).startsWith("+OK");
+        assertThat(next()).startsWith("/events b1");
+        assertThat(next()).isEqualTo("/v2/finals {\"id\":\"b1\",\"status\":\"undeliverable\"}");
+        owedNothing();
+    }
+
+    private static Dispatcher dropsEndings(Dispatcher sound) {
+        return (Dispatcher) Proxy.newProxyInstance(Dispatcher.class.getClassLoader(), new Class<?>[] {Dispatcher.class},
+                (proxy, method, words) -> ((List<?>) method.invoke(sound, words)).stream().filter(decision ->
+                !(decision instanceof Answer.Bounce) && !(decision instanceof Answer.Defer)).toList());
+    }
+
     /** Guards the order of a key whose only mail has ended unconfirmed, when the directory has dropped the key meanwhile. */
     @Test void aKeyThatWasForgottenStillWaitsForTheNotice() throws Exception {
         confirm = 503;
