A state folder that fails for a while ends no node: refusals until it records again

Change: the iteration's promises are taken back (acceptances refused with -BUSY, attempts unsent), what has happened stays noted, FolderOutage tries every 50 ms for as long as the process lives; the file's tail is cut off at once, and after anything but want of room the next write makes a new file; a start tries for 10 s where the folder's error may pass. An audit names decisions that were lost. Left: the store still ends its node.

--- a/app/src/main/java/wrenreach/app/Serve.java
+++ b/app/src/main/java/wrenreach/app/Serve.java
@@ -9,12 +9,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 import wrenreach.Choice;
 import wrenreach.frame.Host;
 import wrenreach.frame.Running;
 import wrenreach.frame.Subsystem;
+import wrenreach.held.FolderFault;
 import wrenreach.held.Journal;
 import wrenreach.held.Ledger;
 import wrenreach.log.JsonLog;
@@ -34,6 +36,9 @@
     /** For how long a file that can't be used is read again, and between two looks where no signal tells; microseconds. */
     private static final long PATIENCE = 2_000_000, LOOK = 1_000_000;
 
+    /** For how long a state folder that fails is tried again at the start, and between two tries; nanoseconds. */
+    private static final long FOLDER_PATIENCE = 10_000_000_000L, FOLDER_AGAIN = 50_000_000;
+
     private final Path file;
     /** The operator's file; null: there is none. */
     private final Path operatorFile;
@@ -100,9 +105,7 @@
         }
         Ledger journal;
         try {
-            Files.createDirectories(state);
-            journal = operatorFile == null ? null : ledger(state, read.diskBytes());
-            journal = journal == null ? Journal.open(state, read.diskBytes()) : journal;
+            journal = open(state, read.diskBytes());
         } catch (IOException e) {
             err.println("wrenreach: state folder " + state + " can't be used: " + e);
             return 1;
@@ -136,6 +139,23 @@
         return node.stopped().join();
     }
 
+    /** What is kept in the state folder; where the folder fails in a way that may pass, it is tried again for some seconds. */
+    private Ledger open(Path state, long limit) throws IOException, Subsystem.CantStart {
+        long until = System.nanoTime() + FOLDER_PATIENCE;
+        while (true) {
+            try {
+                Files.createDirectories(state);
+                Ledger brought = operatorFile == null ? null : ledger(state, limit);
+                return brought == null ? Journal.open(state, limit) : brought;
+            } catch (IOException e) {
+                if (!FolderFault.mayPass(e) || System.nanoTime() > until) {
+                    throw e;
+                }
+                LockSupport.parkNanos(FOLDER_AGAIN);
+            }
+        }
+    }
+
     /** Follows the files on threads that end with the process. */
     private void watch(Reload config, Reload own) {
         new FileWatch("wrenreach-config", () -> List.of(file), LOOK, PATIENCE, config).start();
--- a/app/src/test/java/wrenreach/app/SystemCallFaultsTest.java
+++ b/app/src/test/java/wrenreach/app/SystemCallFaultsTest.java
@@ -49,6 +49,10 @@
         "TRANSFER; transfer_fails 0 0.02 at 500 for 5000",
         "SHORT; short_transfers 0 0.7 at 500 for 5000",
         "WAIT; waits_interrupted 0 0.5 at 500 for 5000",
+        "FOLDER; folder_fails 0 1 28 at 1500 for 2000",
+        "FOLDER; folder_fails 0 1 5 at 1500 for 2000",
+        "FOLDER; folder_fails 0 0.3 at 500 for 5000",
+        "FOLDER; folder_fails 0 1 5 at 1500 for 2500, kill 0 at 2000 for 300",
         "SOCKET; socket_fails 0 0.3 at 500 for 5000, kill 0 at 1500 for 300, stop 0 at 3000 for 300"})
     void theRulesHold(String call, String faults) throws Exception {
         LabRun run = play(40, faults.split(", "));
--- a/lab/src/main/java/wrenreach/lab/LabNode.java
+++ b/lab/src/main/java/wrenreach/lab/LabNode.java
@@ -311,7 +311,8 @@
     /** The next write of the journal fails. */
     void failWrite() {
         if (party.up) {
-            ending = true;
+            // A store that fails ends its node; a journal is made anew.
+            ending = store;
             try {
                 journal.close();
             } catch (IOException e) {
--- a/node/src/main/java/wrenreach/held/HeldMail.java
+++ b/node/src/main/java/wrenreach/held/HeldMail.java
@@ -20,6 +20,8 @@
     public boolean untried;
     /** Set once it has ended undelivered; it stays owed until the platform has heard. */
     public Ending ending;
+    /** A lost decision about it has been reported. */
+    public boolean reported;
     /** What a compacted journal would spend on it. */
     int bytes;
 
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -1,9 +1,7 @@
 package wrenreach.held;
 
 import java.io.ByteArrayOutputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -12,6 +10,7 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,10 +46,16 @@
     private final long owedLimit;
     private final Map<String, HeldMail> owed;
     private final boolean resumed;
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream(1 << 12);
+    /** What the next write records, in order. */
+    private final List<Pending> pending = new ArrayList<>();
     private FileChannel channel;
     private long size;
     private long owedBytes;
+    /** What the file holds behind the records that lasted is not known: the next write makes a new file. */
+    private boolean tailUnknown;
+
+    /** An entry with the bytes of its record. */
+    private record Pending(Entry entry, byte[] bytes) { }
 
     private Journal(Path folder, long limit, LongSupplier wallMillis, Map<String, HeldMail> owed, long size) throws IOException {
         file = folder.resolve(NAME);
@@ -132,8 +137,33 @@
     @Override public void over(HeldMail held) {
         if (held.owed && owed.remove(held.submission.id(), held)) {
             held.owed = false;
-            append(pending, new Entry.Over(held.submission.id()));
+            add(new Entry.Over(held.submission.id()));
+            owedBytes -= held.bytes;
+        }
+    }
+
+    @Override public boolean writesAgain() {
+        return true;
+    }
+
+    @Override public void retract(HeldMail held) {
+        if (owed.remove(held.submission.id(), held)) {
+            held.owed = false;
             owedBytes -= held.bytes;
+            pending.removeIf(one -> one.entry.id().equals(held.submission.id()));
+        }
+    }
+
+    @Override public void retractAttempt(HeldMail held, int number) {
+        for (Iterator<Pending> all = pending.iterator(); all.hasNext();) {
+            Pending one = all.next();
+            if (one.entry instanceof Entry.Connecting connecting && connecting.id().equals(held.submission.id())
+                    && connecting.connect().number() == number) {
+                all.remove();
+                held.bytes -= one.bytes.length;
+                owedBytes -= one.bytes.length;
+                held.connects.remove(connecting.connect());
+            }
         }
     }
 
@@ -156,14 +186,35 @@
         if (ballast.restore(1000 * wallMillis.getAsLong())) {
             LogEvent.tell(LOG, Level.WARNING, "journal.room", "the disk has room again: mails are taken on");
         }
-        if (pending.size() == 0) {
+        if (pending.isEmpty() && !tailUnknown) {
             return;
         }
-        while (!appended()) {
-            channel.truncate(size);
-            channel.position(size);
+        try {
+            while (!appended()) {
+                cutTail();
+            }
+        } catch (IOException e) {
+            afterFailure(e);
+            throw e;
+        }
+        pending.clear();
+        tailUnknown = false;
+    }
+
+    private void cutTail() throws IOException {
+        channel.truncate(size);
+        channel.position(size);
+    }
+
+    /** What a failed write has left in the file is cut off at once: another process would take whole records of it for promises. */
+    private void afterFailure(IOException failure) {
+        try {
+            cutTail();
+            tailUnknown |= !FolderFault.isForWantOfRoom(failure);
+        } catch (IOException e) {
+            tailUnknown = true;
+            failure.addSuppressed(e);
         }
-        pending.reset();
     }
 
     /**
@@ -187,10 +238,12 @@
     }
 
     private void append() throws IOException {
-        if (size + pending.size() > fileLimit) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(1 << 12);
+        pending.forEach(one -> bytes.writeBytes(one.bytes));
+        if (tailUnknown || size + bytes.size() > fileLimit) {
             compact();
         } else {
-            size += write(channel, pending);
+            size += write(channel, bytes);
         }
     }
 
@@ -198,7 +251,7 @@
     private void compact() throws IOException {
         long before = size;
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) Math.max(64, owedBytes));
-        owed.values().forEach(held -> entries(held).forEach(entry -> append(bytes, entry)));
+        owed.values().forEach(held -> entries(held).forEach(entry -> bytes.writeBytes(recordOf(entry))));
         FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                 StandardOpenOption.TRUNCATE_EXISTING);
         int after;
@@ -232,22 +285,20 @@
     }
 
     private void note(HeldMail held, Entry entry) {
-        int bytes = append(pending, entry);
+        int bytes = add(entry);
         held.bytes += bytes;
         owedBytes += bytes;
     }
 
-    private static int append(ByteArrayOutputStream to, Entry entry) {
+    private int add(Entry entry) {
+        Pending one = new Pending(entry, recordOf(entry));
+        pending.add(one);
+        return one.bytes.length;
+    }
+
+    private static byte[] recordOf(Entry entry) {
         byte[] content = entry.encode();
-        DataOutputStream out = new DataOutputStream(to);
-        try {
-            out.writeInt(content.length);
-            out.writeInt(checksum(content));
-            out.write(content);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        return HEAD + content.length;
+        return ByteBuffer.allocate(HEAD + content.length).putInt(content.length).putInt(checksum(content)).put(content).array();
     }
 
     private static int write(FileChannel to, ByteArrayOutputStream bytes) throws IOException {
--- a/node/src/main/java/wrenreach/held/Ledger.java
+++ b/node/src/main/java/wrenreach/held/Ledger.java
@@ -37,9 +37,27 @@
 
     void over(HeldMail held);
 
+    /**
+     * Whether a write that has failed may be tried again: what was noted is kept, and is written by the next one. Where not, the node
+     * has to stop after a failed write.
+     */
+    default boolean writesAgain() {
+        return false;
+    }
+
+    /** Takes back an acceptance that was noted since the last write that succeeded: it never was. */
+    default void retract(HeldMail held) {
+        throw new UnsupportedOperationException();
+    }
+
+    /** Takes back an attempt that was noted since the last write that succeeded: its bytes have not gone out. */
+    default void retractAttempt(HeldMail held, int number) {
+        throw new UnsupportedOperationException();
+    }
+
     /**
      * Writes all records noted since the last time, at once. True: they last; false: then is called on the loop once they do,
-     * and nothing is to be written before. IOException: they don't, and the node has to stop.
+     * and nothing is to be written before. IOException: they don't, see {@link #writesAgain}.
      */
     boolean write(Runnable then) throws IOException;
 
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -26,6 +26,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import wrenreach.api.Outcome;
 import wrenreach.held.HeldMail;
 import wrenreach.log.LogEvent;
@@ -228,6 +229,14 @@
         staged = kept;
     }
 
+    /** What was chosen does not go out after all: it is staged again, and each is told to taken. */
+    public void unchoose(BiConsumer<HeldMail, Connect> taken) {
+        List<Outgoing> chosen = List.copyOf(going);
+        going.clear();
+        staged.addAll(0, chosen);
+        chosen.forEach(call -> taken.accept(call.held, call.connect));
+    }
+
     /** Writes the chosen calls. */
     public void flush(long now) {
         // Guards against second copies: whatever happens while they are written, none is written again.
--- a/node/src/main/java/wrenreach/net/Notices.java
+++ b/node/src/main/java/wrenreach/net/Notices.java
@@ -55,6 +55,7 @@
     private List<HeldMail> posted = List.of();
     private Channel channel;
     private boolean opening;
+    private boolean paused;
     /** The connection has brought an answer: if it breaks, that says nothing of the platform. */
     private boolean kept;
     private boolean failing;
@@ -86,9 +87,14 @@
         return untold;
     }
 
+    /** While paused nothing is posted: what has been added may not be recorded. */
+    public void pause(boolean on) {
+        paused = on;
+    }
+
     /** Posts what is untold, one post at a time. */
     public void flush() {
-        if (untold.isEmpty() || !posted.isEmpty() || opening) {
+        if (paused || untold.isEmpty() || !posted.isEmpty() || opening) {
             return;
         }
         if (channel == null || !channel.isActive()) {
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -73,7 +73,7 @@
     /** Lines on breakers in that time; where more receivers fail at once, staff act on the number. */
     private static final int BREAKER_LINES = 10;
     /** Between two looks whether the decisions and the node agree on what is owed, in microseconds. */
-    private static final long AUDIT_EVERY = 1_000_000;
+    private static final long AUDIT_EVERY = 2_000_000;
     /** How long one line on refusals for disk stands for those that follow. */
     private static final long QUIET = 10_000_000;
 
@@ -114,8 +114,10 @@
     private long behind = PATIENCE;
     private long wallAhead;
     private long quietUntil;
+    /** Accepted in this iteration, until its records last. */
+    private final Map<HeldMail, Asker> unrecorded = new LinkedHashMap<>();
+    private final FolderOutage outage;
     private final MessageLog messages = new MessageLog();
-    private long auditedAt;
     private final Ration breakerLines = new Ration(BREAKER_LINES, QUIET);
     private boolean doorOpen;
     private boolean stopsAfterTurn;
@@ -147,6 +149,7 @@
         journal.attach(loop, () -> finish(1));
         settings = config.settings();
         this.module = module.apply(settings);
+        outage = new FolderOutage(loop, () -> journal.write(() -> { }), this::folderWorks);
         held = new HeldMails(settings, config.queueClasses(), config.tenants(), directory);
         int idle = Math.min(IDLE_A_SLOT * settings.outLimit(), config.descriptors() / 4);
         int taken = OWN_DESCRIPTORS + settings.outLimit() + idle;
@@ -317,6 +320,7 @@
             later(this::turn, settings.rules().drainGrace());
             discovery.follow();
         }
+        later(this::audit, AUDIT_EVERY);
         endTurn();
         doorOpen = true;
         door.open(config.listen(), new Door.Opening() {
@@ -363,13 +367,27 @@
         if (!turning || phase == Phase.STOPPED) {
             return;
         }
+        if (outage.lasts()) {
+            // Nothing can be recorded, so nothing is decided: clients hear their refusals.
+            turning = false;
+            door.flush();
+            finishIfAsked();
+            return;
+        }
         boolean lasts;
         try {
             decide();
             writing = true;
             lasts = journal.write(this::written);
-        } catch (IOException | RuntimeException | Error e) {
-            // Guards what is owed: a node that can't record or decide ends, and the journal keeps the rest.
+        } catch (IOException e) {
+            if (journal.writesAgain()) {
+                takeBack(e);
+            } else {
+                failed(true, e);
+            }
+            return;
+        } catch (RuntimeException | Error e) {
+            // Guards what is owed: a node that can't decide ends, and the journal keeps the rest.
             failed(true, e);
             return;
         }
@@ -385,18 +403,53 @@
         // What goes wrong while bytes go out is the next turn's.
         writing = false;
         turning = false;
+        unrecorded.clear();
         subsystems.tell();
         door.flush();
         calls.flush(now);
         notices.flush();
-        if (stopsAfterTurn) {
-            finish(0);
-        } else if (waiting) {
+        if (!finishIfAsked() && waiting) {
             waiting = false;
             turn();
         }
     }
 
+    private boolean finishIfAsked() {
+        if (stopsAfterTurn) {
+            finish(0);
+        }
+        return stopsAfterTurn;
+    }
+
+    /**
+     * The iteration's records did not last. What it was about to promise is not promised: those that were accepted are refused, and
+     * attempts stay unsent. What has happened (ends of attempts, endings) can't be taken back and is recorded later.
+     */
+    private void takeBack(IOException why) {
+        writing = false;
+        turning = false;
+        waiting = false;
+        calls.unchoose((message, connect) -> journal.retractAttempt(message, connect.number));
+        unrecorded.forEach((message, asked) -> {
+            messages.refused(message.submission, "the state folder takes no records", now);
+            asked.answer(new Reply.Busy(0));
+            journal.retract(message);
+            answers.addAll(module.withdrawn(message.mail, now));
+            message.mail.connects.stream().filter(connect -> connect.open).forEach(calls::revoke);
+            held.forget(message);
+        });
+        unrecorded.clear();
+        notices.pause(true);
+        outage.begin(why);
+        door.flush();
+        finishIfAsked();
+    }
+
+    private void folderWorks() {
+        notices.pause(false);
+        turn();
+    }
+
     private void decide() {
         withdrawAbandoned();
         calls.dropForbidden();
@@ -408,7 +461,6 @@
         for (Answer answer = answers.poll(); answer != null; answer = answers.poll()) {
             carryOut(answer);
         }
-        audit();
         fresh.forEach((mail, asked) -> {
             journal.taken(mail);
             if (subsystems.hears()) {
@@ -418,6 +470,7 @@
             }
             asked.answer(new Reply.Taken());
         });
+        unrecorded.putAll(fresh);
         fresh.clear();
         calls.choose();
     }
@@ -450,17 +503,23 @@
 
     /**
      * Compares what the decisions take for ended with what the node has heard of, once in a while. A decision that was lost on its way
-     * would otherwise leave its message owed for as long as the process lives, with nobody told.
+     * is a defect and is named at once; its message would be owed for as long as the process lives, so it ends once its time is over.
      */
     private void audit() {
-        if (now - auditedAt < AUDIT_EVERY) {
-            return;
-        }
-        auditedAt = now;
-        for (HeldMail message : held.endedByDecisionsOnly()) {
-            messages.decisionLost(message, now);
-            end(message, new Ending(false, 0), EndReason.DECISION_LOST);
+        // In the middle of an iteration, or while nothing can be recorded, decisions may still wait to be carried out.
+        if (!turning && !writing && !outage.lasts()) {
+            for (HeldMail message : held.endedByDecisionsOnly()) {
+                turn();
+                if (!message.reported) {
+                    message.reported = true;
+                    messages.decisionLost(message, now);
+                }
+                if (now > message.mail.endsBy + AUDIT_EVERY) {
+                    end(message, new Ending(false, 0), EndReason.DECISION_LOST);
+                }
+            }
         }
+        later(this::audit, AUDIT_EVERY);
     }
 
     private void end(HeldMail mail, Ending ending, EndReason reason) {
@@ -556,6 +615,11 @@
             asked.answer(new Reply.Taken());
             return;
         }
+        if (outage.lasts()) {
+            messages.refused(s, "the state folder takes no records", now);
+            asked.answer(new Reply.Busy(0));
+            return;
+        }
         boolean fits = journal.fits(s.body().length, fresh.size(), settings.connectLimit());
         if (!fits && now > quietUntil) {
             quietUntil = now + QUIET;
@@ -792,6 +856,7 @@
             return;
         }
         move(Phase.STOPPED);
+        outage.end();
         LogEvent.tell(LOG, Level.INFO, "stopped", "{owed} mails stay owed in the journal", "owed", held.size());
         discovery.stop();
         subsystems.each(Running::stopped);
--- a/node/src/main/java/wrenreach/node/MessageLog.java
+++ b/node/src/main/java/wrenreach/node/MessageLog.java
@@ -65,7 +65,7 @@
     void decisionLost(HeldMail message, long now) {
         if (may(Kind.DEFECT, now)) {
             LogEvent.tell(LOG, Level.ERROR, "message.lost", "a defect, report this line: message {id} of key {key} was ended by the decisions and "
-                    + "the node was not told; it ends undeliverable{more}", "id", message.submission.id(), "key", message.submission.key(),
+                    + "the node was not told; it ends once its time is over{more}", "id", message.submission.id(), "key", message.submission.key(),
                     "destination", message.submission.destination(), "more", more(Kind.DEFECT));
         }
     }
