--- a/app/src/test/java/wrenreach/app/SystemCallFaultsTest.java
+++ b/app/src/test/java/wrenreach/app/SystemCallFaultsTest.java
@@ -60,6 +60,17 @@
         assertThat(number(run.log("1-1/n0.log"), "made to fail so far: " + call + " ")).as("faults that struck").isPositive();
     }
 
+    /** Spans are real time: a stepped wall clock ends nothing early and leaves nothing owed, also over a restart. */
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {
+        "wall_ahead 0 3600 at 2100 for 30000", "wall_behind 0 3600 at 2100 for 30000", "wall_ahead 0 3600 at 1500 for 700",
+        "wall_behind 0 3600 at 1000 for 1100", "wall_ahead 0 5 at 2100 for 30000"})
+    void aSteppedWallClockMovesNoSpan(String step) throws Exception {
+        LabRun run = play(40, "down all at 600 for 1300", "kill 0 at 1900 for 500", step);
+        assertThat(run.code()).as(run.said()).isZero();
+        assertThat(run.log("1-1/n0.log")).containsPattern("recovered [1-9][0-9]+ mails");
+    }
+
     /** The next accept follows at once: one in five that fails costs clients a second try, not a second of silence. */
     @Test void clientsAreAcceptedAgainAtOnce() throws Exception {
         LabRun run = play(60, "accept_fails 0 0.2 at 300 for 5700");
