Deadlines are spans of real time, also over a restart: records go by the machine's monotonic clock

Change: the ledger records the clock that its times are by (boot id and offset of monotonic time, record type 6; older journals are read, older builds refuse the new one), a process of the same boot goes on by it, another boot believes the wall and bounds each span by its class; a clock that went back is not believed.

--- a/lab/src/main/java/wrenreach/lab/LabNode.java
+++ b/lab/src/main/java/wrenreach/lab/LabNode.java
@@ -24,6 +24,7 @@
 import wrenreach.held.Journal;
 import wrenreach.held.Ledger;
 import wrenreach.ledger.StoreLedger;
+import wrenreach.net.MachineClocks;
 import wrenreach.net.Sockets;
 import wrenreach.node.Config;
 import wrenreach.node.DeliveryNode;
@@ -132,7 +133,7 @@
         loop = new WireLoop(world.ticker);
         try {
             journal = store ? StoreLedger.open(state, config.diskBytes(), false, REMEMBERED, config.diskBytes() / 10,
-                    world::wallMillis, SALT) : Journal.open(state, config.diskBytes(), world::wallMillis);
+                    () -> 1000 * world.wallMillis(), SALT) : Journal.open(state, config.diskBytes());
             filesBefore = files = files();
             size = sizeBefore = journal.size();
         } catch (IOException e) {
@@ -140,7 +141,7 @@
         }
         // Each life reads it anew: the list in it is the node's own.
         node = new DeliveryNode(configOf(json), journal, settings -> new Watched(module.apply(settings), world, name), new Sockets(loop, () -> new WireServer(this),
-                () -> new WireChannel(this), world::wallMillis));
+                () -> new WireChannel(this), new MachineClocks(world::wallMillis, world::now, "lab")));
         for (Subsystem<?> subsystem : Experiment.Setup.subsystems()) {
             add(subsystem);
         }
--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -29,6 +30,7 @@
 import wrenreach.held.Journal;
 import wrenreach.held.Ledger;
 import wrenreach.held.PastConnect;
+import wrenreach.held.TimeBase;
 import wrenreach.log.LogEvent;
 import wrenreach.store.Batch;
 import wrenreach.store.FolderDisk;
@@ -36,13 +38,13 @@
 
 /**
  * What is owed, in a store: a key for each mail (t), for each of its connects (c) and what became of it (n), for its ending
- * (e), for the id of one that has ended (r), and for each hole that has been dealt with (h). A turn's records are one batch. Where the disk takes no more, ballast is let go:
+ * (e), for the id of one that has ended (r), and for each hole that has been dealt with (h), and the clock that all times are by (b). A turn's records are one batch. Where the disk takes no more, ballast is let go:
  * what is owed goes on in its room, and new mails are refused until it is back.
  */
 public final class StoreLedger implements Ledger {
     private static final System.Logger LOG = System.getLogger(StoreLedger.class.getName());
     private static final String JOURNAL = "journal";
-    private static final char TAKEN = 't', CONNECT = 'c', NEVER_RAN = 'n', ENDING = 'e', REMEMBERED = 'r', HOLE = 'h';
+    private static final char TAKEN = 't', CONNECT = 'c', NEVER_RAN = 'n', ENDING = 'e', REMEMBERED = 'r', HOLE = 'h', CLOCK = 'b';
     /** The part of the room that is kept for what is owed already, for when the disk is full. */
     private static final double BALLAST_PART = 0.125;
     /** Bytes that a connect or an ending may take; a remembered id beside its length. */
@@ -55,9 +57,12 @@
     private final boolean sync;
     private final long remember;
     private final long rememberBytes;
-    private final LongSupplier wallMillis;
+    /** Microseconds of a clock that only goes forward. */
+    private LongSupplier micros;
+    /** By which the records' times are; null: the wall's. */
+    private TimeBase base;
     private final Map<String, HeldMail> owed = new LinkedHashMap<>();
-    /** When each id that is remembered ended, in wall microseconds; the oldest first. */
+    /** When each id that is remembered ended, in microseconds; the oldest first. */
     private final Map<String, Long> remembered = new LinkedHashMap<>();
     private long rememberedBytes;
     private final boolean resumed;
@@ -69,24 +74,24 @@
     private boolean closed;
     private ListLog lists;
 
-    private StoreLedger(Store store, Ballast ballast, boolean sync, long remember, long rememberBytes, LongSupplier wallMillis) throws IOException {
+    private StoreLedger(Store store, Ballast ballast, boolean sync, long remember, long rememberBytes, LongSupplier micros) throws IOException {
         this.store = store;
         this.ballast = ballast;
         this.sync = sync;
         this.remember = remember;
         this.rememberBytes = rememberBytes;
-        this.wallMillis = wallMillis;
+        this.micros = micros;
         resumed = store.stats().sequence() > 0;
         load();
     }
 
     /** Opens the store in a state folder; limit: bytes that it may hold; remember: microseconds, and bytes, of ended ids. */
     public static StoreLedger open(Path state, long limit, boolean sync, long remember, long rememberBytes) throws IOException {
-        return open(state, limit, sync, remember, rememberBytes, System::currentTimeMillis, new SecureRandom().nextInt());
+        return open(state, limit, sync, remember, rememberBytes, () -> System.nanoTime() / 1000, new SecureRandom().nextInt());
     }
 
-    /** The same with a wall's clock and a salt handed in. */
-    public static StoreLedger open(Path state, long limit, boolean sync, long remember, long rememberBytes, LongSupplier wallMillis,
+    /** The same with a clock of microseconds, used until {@link #startClock}, and a salt handed in. */
+    public static StoreLedger open(Path state, long limit, boolean sync, long remember, long rememberBytes, LongSupplier micros,
             int salt) throws IOException {
         Path journal = state.resolve(JOURNAL);
         Path folder = state.resolve(Journal.STORE);
@@ -103,7 +108,7 @@
         Store store = Store.open(new FolderDisk(folder), limit - kept - ListLog.room(limit), sync, salt);
         try {
             StoreLedger ledger = new StoreLedger(store, new Ballast(folder.resolve("ballast"), kept), sync, remember, rememberBytes,
-                    wallMillis);
+                    micros);
             ledger.lists = new ListLog(state, limit);
             return ledger;
         } catch (IOException | RuntimeException e) {
@@ -115,7 +120,7 @@
     /** What a state folder's store owes, in the order taken on; nothing is changed. */
     static List<HeldMail> read(Path folder) throws IOException {
         try (StoreLedger ledger = new StoreLedger(Store.look(new FolderDisk(folder)), new Ballast(folder, 0), false, 0, 0,
-                System::currentTimeMillis)) {
+                () -> System.nanoTime() / 1000)) {
             return ledger.owed();
         }
     }
@@ -132,7 +137,7 @@
         Files.createDirectories(made);
         List<HeldMail> owed = Journal.read(state);
         try (StoreLedger ledger = new StoreLedger(Store.open(new FolderDisk(made), limit, true, salt), new Ballast(made.resolve("ballast"), 0), true, 0, 0,
-                System::currentTimeMillis)) {
+                () -> System.nanoTime() / 1000)) {
             for (HeldMail mail : owed) {
                 HeldMail copy = new HeldMail(mail.submission, mail.endsBy);
                 ledger.taken(copy);
@@ -174,6 +179,8 @@
                     while (ended.putIfAbsent(at, key.substring(1)) != null) {
                         at++;
                     }
+                } else if (key.charAt(0) == CLOCK) {
+                    base = ((Entry.Clock) Entry.decode(value)).base();
                 } else if (key.charAt(0) == HOLE) {
                     dealtWith.add(key);
                 } else {
@@ -233,6 +240,18 @@
         failed = whenFailed;
     }
 
+    @Override public Optional<TimeBase> timeBase() {
+        return Optional.ofNullable(base);
+    }
+
+    @Override public void startClock(TimeBase started, LongSupplier itsMicros) {
+        micros = itsMicros;
+        if (!started.equals(base)) {
+            base = started;
+            pending.put(String.valueOf(CLOCK), new Entry.Clock(started).encode());
+        }
+    }
+
     @Override public boolean resumed() {
         return resumed;
     }
@@ -301,7 +320,7 @@
             pending.delete(ENDING + id);
         }
         if (remember > 0 && rememberBytes > 0) {
-            long now = 1000 * wallMillis.getAsLong();
+            long now = micros.getAsLong();
             pending.put(REMEMBERED + id, ByteBuffer.allocate(8).putLong(now).array());
             remembered(id, now);
         }
@@ -313,7 +332,7 @@
     }
 
     private void forget() {
-        long before = 1000 * wallMillis.getAsLong() - remember;
+        long before = micros.getAsLong() - remember;
         int count = 0;
         for (Iterator<Map.Entry<String, Long>> all = remembered.entrySet().iterator(); all.hasNext() && count < FORGOTTEN_A_TURN;) {
             Map.Entry<String, Long> oldest = all.next();
@@ -367,7 +386,7 @@
     }
 
     private void restore() {
-        if (ballast.restore(1000 * wallMillis.getAsLong())) {
+        if (ballast.restore(micros.getAsLong())) {
             LogEvent.tell(LOG, Level.WARNING, "store.room", "the disk has room again: mails are taken on");
         }
     }
--- a/node/src/main/java/wrenreach/held/Entry.java
+++ b/node/src/main/java/wrenreach/held/Entry.java
@@ -13,7 +13,7 @@
     /** The mail that it is about. */
     String id();
 
-    /** Taken on; endsBy in wall time. */
+    /** Taken on; endsBy by the clock of the records, see {@link TimeBase}. */
     record Taken(Submission submission, long endsBy) implements Entry {
         @Override public String id() {
             return submission.id();
@@ -29,6 +29,13 @@
     /** Ended undelivered, to be told to the platform. */
     record Ended(String id, Ending ending) implements Entry { }
 
+    /** From here on times are read by this clock. */
+    record Clock(TimeBase base) implements Entry {
+        @Override public String id() {
+            return "";
+        }
+    }
+
     /** Nothing is owed any more. */
     record Over(String id) implements Entry { }
 
@@ -65,6 +72,11 @@
                 text(out, e.id);
                 out.writeBoolean(e.ending.deferred());
                 out.writeLong(e.ending.retryAfterMs());
+            } else if (this instanceof Clock c) {
+                out.writeByte(6);
+                text(out, id());
+                text(out, c.base.boot());
+                out.writeLong(c.base.offset());
             } else {
                 out.writeByte(5);
                 text(out, id());
@@ -91,6 +103,7 @@
             case 3 -> new NeverRan(id, in.readInt());
             case 4 -> new Ended(id, new Ending(in.readBoolean(), in.readLong()));
             case 5 -> new Over(id);
+            case 6 -> new Clock(new TimeBase(text(in), in.readLong()));
             default -> throw new IOException("unknown type " + type);
         };
     }
--- a/node/src/main/java/wrenreach/held/HeldMail.java
+++ b/node/src/main/java/wrenreach/held/HeldMail.java
@@ -6,7 +6,7 @@
 import java.util.Locale;
 import wrenreach.state.Mail;
 
-/** A mail that the node holds, from the door to its end; times in wall microseconds. */
+/** A mail that the node holds, from the door to its end; times by the clock of the records, see {@link TimeBase}. */
 public final class HeldMail {
     public final Submission submission;
     public final long endsBy;
--- a/node/src/main/java/wrenreach/held/HeldMails.java
+++ b/node/src/main/java/wrenreach/held/HeldMails.java
@@ -21,6 +21,8 @@
     private final Map<String, HeldMail> byId = new HashMap<>();
     private final Map<Mail, HeldMail> byMail = new IdentityHashMap<>();
     private long keysRestUntil;
+    /** Recorded times are by the clock that now is; else by the wall's as it was then. */
+    private boolean clockContinued = true;
 
     /** The names of queue classes and tenants stand in the order of the settings' numbers. */
     public HeldMails(Settings settings, List<String> queueClasses, List<String> tenants, Directory<String> directory) {
@@ -35,6 +37,11 @@
         keysRestUntil = now + settings.rules().orderSettle();
     }
 
+    /** Recorded times are by the wall's clock of another boot: no span is taken to be longer than its class allows. */
+    public void clockIsAnother() {
+        clockContinued = false;
+    }
+
     /** What is wrong with a mail of these names, or null. */
     public String objection(Submission s) {
         return !queueClasses.contains(s.queueClass()) ? "unknown class"
@@ -65,8 +72,12 @@
         return byId.size();
     }
 
-    /** Holds a mail and makes what the module is to know it as; wallAhead: wall time less the turn's. */
-    public Mail hold(HeldMail held, long now, long wallAhead) {
+    /** Holds a mail and makes what the module is to know it as. */
+    public Mail hold(HeldMail held, long now) {
+        return hold(held, now, held.endsBy);
+    }
+
+    private Mail hold(HeldMail held, long now, long endsBy) {
         Submission s = held.submission;
         int queueClass = Math.max(0, queueClasses.indexOf(s.queueClass()));
         OrderKey key = s.key().isEmpty() || !settings.classes().get(queueClass).inOrder() ? null
@@ -76,20 +87,22 @@
             key.restsUntil = Math.max(key.restsUntil, keysRestUntil);
         }
         held.mail = new Mail(s.id().hashCode(), directory.destination(s.destination()), key, queueClass,
-                tenants.indexOf(s.tenant()), now, held.endsBy - wallAhead);
+                tenants.indexOf(s.tenant()), now, endsBy);
         byId.put(s.id(), held);
         byMail.put(held.mail, held);
         return held.mail;
     }
 
     /** The same for a mail of an earlier process, with its connects as the journal knows them. */
-    public Mail resume(HeldMail owed, long now, long wallAhead) {
-        Mail mail = hold(owed, now, wallAhead);
+    public Mail resume(HeldMail owed, long now) {
+        int queueClass = Math.max(0, queueClasses.indexOf(owed.submission.queueClass()));
+        long latest = now + settings.classes().get(queueClass).lifetime();
+        Mail mail = hold(owed, now, clockContinued ? owed.endsBy : Math.min(owed.endsBy, latest));
         mail.owed = true;
         for (PastConnect past : owed.connects) {
             Endpoint known = directory.endpoint(past.endpoint());
             Endpoint at = known != null ? known : new Endpoint(-1, mail.to, settings.kinds().size(), past.zone());
-            long sentAt = past.sentAt() - wallAhead;
+            long sentAt = Math.min(past.sentAt(), now);
             Connect connect = new Connect(mail, at, sentAt, sentAt, new Call(sentAt));
             connect.open = false;
             connect.neverRan = past.neverRan();
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.zip.CRC32;
 import wrenreach.endpoints.ListLog;
@@ -41,7 +42,8 @@
     private final Path next;
     private final ListLog lists;
     private final Ballast ballast;
-    private final LongSupplier wallMillis;
+    /** Microseconds of a clock that only goes forward. */
+    private LongSupplier micros = () -> System.nanoTime() / 1000;
     private final long fileLimit;
     private final long owedLimit;
     private final Map<String, HeldMail> owed;
@@ -51,43 +53,44 @@
     private FileChannel channel;
     private long size;
     private long owedBytes;
+    /** By which the records' times are; null: the wall's. */
+    private TimeBase base;
+    private boolean baseUnrecorded;
     /** What the file holds behind the records that lasted is not known: the next write makes a new file. */
     private boolean tailUnknown;
 
     /** An entry with the bytes of its record. */
     private record Pending(Entry entry, byte[] bytes) { }
 
-    private Journal(Path folder, long limit, LongSupplier wallMillis, Map<String, HeldMail> owed, long size) throws IOException {
+    /** The bytes of the file that are whole records, and the clock that their times are by; null: the wall's. */
+    private record Replayed(long bytes, TimeBase base) { }
+
+    private Journal(Path folder, long limit, Map<String, HeldMail> owed, Replayed replayed) throws IOException {
         file = folder.resolve(NAME);
         next = folder.resolve(NEXT);
         lists = new ListLog(folder, limit);
         fileLimit = (long) (limit * FILE_PART);
         owedLimit = (long) (limit * OWED_PART);
         this.owed = owed;
-        this.size = size;
+        size = replayed.bytes;
+        base = replayed.base;
         resumed = size > 0;
         owed.values().forEach(held -> owedBytes += held.bytes);
         Files.deleteIfExists(next);
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         channel.truncate(size);
         channel.position(size);
-        this.wallMillis = wallMillis;
         ballast = new Ballast(folder.resolve("ballast"), (long) (limit * BALLAST_PART));
     }
 
     /** Opens the folder's journal for writing; limit: bytes that the folder may hold. */
     public static Journal open(Path folder, long limit) throws IOException {
-        return open(folder, limit, System::currentTimeMillis);
-    }
-
-    /** The same by another clock. */
-    public static Journal open(Path folder, long limit, LongSupplier wallMillis) throws IOException {
         if (Files.exists(folder.resolve(STORE))) {
             // Guards what is owed: a node that went back to the journal would know nothing of it.
             throw new IOException(folder.resolve(STORE) + " holds what is owed: [store] has to stay on");
         }
         Map<String, HeldMail> owed = new LinkedHashMap<>();
-        return new Journal(folder, limit, wallMillis, owed, replay(folder.resolve(NAME), owed));
+        return new Journal(folder, limit, owed, replay(folder.resolve(NAME), owed));
     }
 
     /** What the folder's journal owes, in the order taken on; nothing is written. */
@@ -97,6 +100,16 @@
         return new ArrayList<>(owed.values());
     }
 
+    @Override public Optional<TimeBase> timeBase() {
+        return Optional.ofNullable(base);
+    }
+
+    @Override public void startClock(TimeBase started, LongSupplier itsMicros) {
+        micros = itsMicros;
+        baseUnrecorded = !started.equals(base);
+        base = started;
+    }
+
     @Override public boolean resumed() {
         return resumed;
     }
@@ -183,7 +196,7 @@
 
     /** The same, for who has no turn. */
     public void write() throws IOException {
-        if (ballast.restore(1000 * wallMillis.getAsLong())) {
+        if (ballast.restore(micros.getAsLong())) {
             LogEvent.tell(LOG, Level.WARNING, "journal.room", "the disk has room again: mails are taken on");
         }
         if (pending.isEmpty() && !tailUnknown) {
@@ -251,6 +264,9 @@
     private void compact() throws IOException {
         long before = size;
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) Math.max(64, owedBytes));
+        if (base != null) {
+            bytes.writeBytes(recordOf(new Entry.Clock(base)));
+        }
         owed.values().forEach(held -> entries(held).forEach(entry -> bytes.writeBytes(recordOf(entry))));
         FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                 StandardOpenOption.TRUNCATE_EXISTING);
@@ -291,6 +307,11 @@
     }
 
     private int add(Entry entry) {
+        if (baseUnrecorded) {
+            // Not by itself: a process that records nothing leaves the folder as it was.
+            baseUnrecorded = false;
+            add(new Entry.Clock(base));
+        }
         Pending one = new Pending(entry, recordOf(entry));
         pending.add(one);
         return one.bytes.length;
@@ -310,10 +331,11 @@
     }
 
     /** Reads records until the end or the first that is not whole; the length of those that are. */
-    private static long replay(Path file, Map<String, HeldMail> owed) throws IOException {
+    private static Replayed replay(Path file, Map<String, HeldMail> owed) throws IOException {
         if (!Files.exists(file)) {
-            return 0;
+            return new Replayed(0, null);
         }
+        TimeBase base = null;
         ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file));
         int good = 0;
         while (bytes.remaining() >= HEAD) {
@@ -327,14 +349,16 @@
             if (checksum(content) != checksum) {
                 break;
             }
-            apply(Entry.decode(content), HEAD + length, owed);
+            Entry entry = Entry.decode(content);
+            base = entry instanceof Entry.Clock clock ? clock.base() : base;
+            apply(entry, HEAD + length, owed);
             good = bytes.position();
         }
         if (good < bytes.limit()) {
             LogEvent.tell(LOG, Level.WARNING, "journal.torn", "journal: cut off a torn tail of {bytes} bytes",
                     "bytes", bytes.limit() - good);
         }
-        return good;
+        return new Replayed(good, base);
     }
 
     private static void apply(Entry entry, int bytes, Map<String, HeldMail> owed) {
--- a/node/src/main/java/wrenreach/held/Ledger.java
+++ b/node/src/main/java/wrenreach/held/Ledger.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
 import wrenreach.endpoints.ListLog;
 
 /**
@@ -13,6 +15,14 @@
     /** Before anything else: the node's loop, and what to do when nothing can be promised any more. */
     default void attach(Executor loop, Runnable failed) { }
 
+    /** The clock that the times of its records are by; empty: the wall's, as it was then. */
+    default Optional<TimeBase> timeBase() {
+        return Optional.empty();
+    }
+
+    /** From now on times are by this clock, which is recorded where it is not the one before; micros: its time. */
+    default void startClock(TimeBase base, LongSupplier micros) { }
+
     /** Whether an earlier process left records here. */
     boolean resumed();
 
--- /dev/null
+++ b/node/src/main/java/wrenreach/net/MachineClocks.java
@@ -0,0 +1,31 @@
+package wrenreach.net;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.LongSupplier;
+
+/**
+ * What the machine tells of time, and the one place that may read its wall clock: that clock may be stepped, forward or back, while
+ * a process runs or between two processes.
+ *
+ * @param wallMillis milliseconds of the wall clock
+ * @param monotonicNanos nanoseconds of a clock that only goes forward, the same for all processes of a boot
+ * @param boot what names the boot of the machine; empty where it is not known
+ */
+public record MachineClocks(LongSupplier wallMillis, LongSupplier monotonicNanos, String boot) {
+    private static final Path BOOT_ID = Path.of("/proc/sys/kernel/random/boot_id");
+
+    /** The clocks of the machine that this process runs on. */
+    public static MachineClocks real() {
+        return new MachineClocks(System::currentTimeMillis, System::nanoTime, bootId());
+    }
+
+    private static String bootId() {
+        try {
+            return Files.readString(BOOT_ID).strip();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+}
--- a/node/src/main/java/wrenreach/net/Sockets.java
+++ b/node/src/main/java/wrenreach/net/Sockets.java
@@ -6,16 +6,15 @@
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.util.function.LongSupplier;
 
 /**
  * What a node's connections and times are made of: a group of one loop, whose ticker is the node's one monotonic time,
- * the channels that listen and connect, and the wall's clock in milliseconds.
+ * the channels that listen and connect, and the machine's clocks.
  */
 public record Sockets(EventLoopGroup group, ChannelFactory<? extends ServerChannel> listening,
-                      ChannelFactory<? extends Channel> connecting, LongSupplier wallMillis) {
+                      ChannelFactory<? extends Channel> connecting, MachineClocks clocks) {
     /** The machine's sockets and clocks; failures: told what the loop's tasks throw. */
     public static Sockets real(LoopFailures failures) {
-        return new Sockets(failures.group(), NioServerSocketChannel::new, NioSocketChannel::new, System::currentTimeMillis);
+        return new Sockets(failures.group(), NioServerSocketChannel::new, NioSocketChannel::new, MachineClocks.real());
     }
 }
--- a/node/src/main/java/wrenreach/node/Clock.java
+++ b/node/src/main/java/wrenreach/node/Clock.java
@@ -1,26 +1,68 @@
 package wrenreach.node;
 
 import io.netty.util.concurrent.Ticker;
-import java.util.function.LongSupplier;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
+import wrenreach.held.HeldMail;
+import wrenreach.held.Ledger;
+import wrenreach.held.PastConnect;
+import wrenreach.held.TimeBase;
+import wrenreach.log.LogEvent;
+import wrenreach.net.MachineClocks;
 
-/** Microseconds: one time that only goes forward, and the wall's for what outlasts the process. */
+/**
+ * The node's time in microseconds. It only goes forward, and it is the same time for all processes of one boot of the machine: a
+ * deadline that one process has recorded means the same instant to the next, whatever becomes of the wall clock meanwhile.
+ */
 final class Clock {
+    private static final System.Logger LOG = System.getLogger(Clock.class.getName());
+    /** A difference that is no step: the wall clock is steered all the time. */
+    private static final long STEP = 1_000_000;
+
     private final Ticker ticker;
-    private final LongSupplier wallMillis;
-    private final long origin;
+    private final long tickerOffset;
+    private final boolean continued;
 
-    Clock(Ticker ticker, LongSupplier wallMillis) {
+    private Clock(Ticker ticker, long tickerOffset, boolean continued) {
         this.ticker = ticker;
-        this.wallMillis = wallMillis;
-        origin = wall() - ticker.nanoTime() / 1000;
+        this.tickerOffset = tickerOffset;
+        this.continued = continued;
     }
 
-    /** Goes forward only; it starts at the wall's time, but does not follow it. */
-    long now() {
-        return origin + ticker.nanoTime() / 1000;
+    /**
+     * Goes on by the clock of the ledger's records where they are of this boot; else it starts at the wall's time, which is all that is
+     * known of their times. longestSpan: how far ahead of its record a deadline may be.
+     */
+    static Clock start(Ticker ticker, MachineClocks machine, Ledger ledger, long longestSpan) {
+        long monotonic = machine.monotonicNanos().getAsLong() / 1000;
+        TimeBase fresh = new TimeBase(machine.boot(), 1000 * machine.wallMillis().getAsLong() - monotonic);
+        Optional<TimeBase> before = ledger.timeBase().filter(base -> !base.boot().isEmpty() && base.boot().equals(fresh.boot())
+                && possible(ledger, monotonic + base.offset(), longestSpan));
+        before.filter(base -> Math.abs(base.offset() - fresh.offset()) > STEP).ifPresent(base -> LogEvent.tell(LOG, Level.WARNING, "clock.stepped",
+                "the wall clock has been stepped by {seconds} s since the first start in this boot of the machine: times go by its monotonic clock",
+                "seconds", (fresh.offset() - base.offset()) / 1_000_000));
+        TimeBase base = before.orElse(fresh);
+        Clock clock = new Clock(ticker, monotonic + base.offset() - ticker.nanoTime() / 1000, before.isPresent());
+        ledger.startClock(base, clock::now);
+        return clock;
+    }
+
+    /** Whether the records can be of a clock that shows this time: a monotonic clock that was set back knows times to come. */
+    private static boolean possible(Ledger ledger, long now, long longestSpan) {
+        for (HeldMail message : ledger.owed()) {
+            if (message.endsBy > now + longestSpan || message.connects.stream().mapToLong(PastConnect::sentAt).anyMatch(at -> at > now)) {
+                return false;
+            }
+        }
+        return true;
     }
 
-    long wall() {
-        return 1000 * wallMillis.getAsLong();
+    /** Whether recorded times are by this clock; else only by the wall's, as it was then. */
+    boolean continued() {
+        return continued;
+    }
+
+    long now() {
+        return tickerOffset + ticker.nanoTime() / 1000;
     }
 }
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -72,6 +72,8 @@
     private static final int RESERVE = 256 * 1024;
     /** Lines on breakers in that time; where more receivers fail at once, staff act on the number. */
     private static final int BREAKER_LINES = 10;
+    /** Deadlines that lie more than so many of the longest lifetimes ahead are of another clock. */
+    private static final int SPANS = 4;
     /** Between two looks whether the decisions and the node agree on what is owed, in microseconds. */
     private static final long AUDIT_EVERY = 2_000_000;
     /** How long one line on refusals for disk stands for those that follow. */
@@ -112,7 +114,6 @@
     private long now;
     /** The longest time between two turns of late: so long a request may wait to be accepted, and again to be read. */
     private long behind = PATIENCE;
-    private long wallAhead;
     private long quietUntil;
     /** Accepted in this iteration, until its records last. */
     private final Map<HeldMail, Asker> unrecorded = new LinkedHashMap<>();
@@ -143,11 +144,13 @@
     public DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module, Sockets sockets) {
         group = sockets.group();
         loop = group.next();
-        clock = new Clock(loop.ticker(), sockets.wallMillis());
         this.config = config;
         this.journal = journal;
         journal.attach(loop, () -> finish(1));
         settings = config.settings();
+        // A client may ask for more time than its class has: then a deadline lies further ahead.
+        clock = Clock.start(loop.ticker(), sockets.clocks(), journal,
+                SPANS * settings.classes().stream().mapToLong(Settings.QueueClass::lifetime).max().orElse(0));
         this.module = module.apply(settings);
         outage = new FolderOutage(loop, () -> journal.write(() -> { }), this::folderWorks);
         held = new HeldMails(settings, config.queueClasses(), config.tenants(), directory);
@@ -285,6 +288,9 @@
         if (journal.resumed()) {
             held.resumes(now);
         }
+        if (!clock.continued()) {
+            held.clockIsAnother();
+        }
         List<HeldMail> owed = journal.owed();
         int untold = 0;
         for (HeldMail mail : owed) {
@@ -295,10 +301,10 @@
             }
             if (mail.ending == null && known) {
                 endpoints.use(mail.submission.destination(), now);
-                answers.addAll(module.admit(held.resume(mail, now, wallAhead), now));
+                answers.addAll(module.admit(held.resume(mail, now), now));
                 continue;
             }
-            held.resume(mail, now, wallAhead).sequence = -1; // Its key's other mails wait for the notice.
+            held.resume(mail, now).sequence = -1; // Its key's other mails wait for the notice.
             if (mail.ending == null) {
                 LogEvent.tell(LOG, Level.WARNING, "recovery.class", "an owed mail is of the unknown queue class {class}",
                         "class", mail.submission.queueClass());
@@ -353,7 +359,6 @@
             long gap = clock.now() - now;
             now += gap;
             behind = Math.max(gap, behind - gap / RECOVERS);
-            wallAhead = clock.wall() - now;
             loop.execute(this::endTurn);
         }
         return now;
@@ -632,8 +637,8 @@
         }
         // Guards ends in time while the node is short of its core: the client has counted since it sent the request.
         long waited = Math.min(PATIENCE, 2 * behind);
-        HeldMail mail = new HeldMail(s, now + wallAhead + 1000 * lifetimeMs - waited);
-        Mail admitted = held.hold(mail, now, wallAhead);
+        HeldMail mail = new HeldMail(s, now + 1000 * lifetimeMs - waited);
+        Mail admitted = held.hold(mail, now);
         fresh.put(mail, asked);
         answers.addAll(module.admit(admitted, now));
     }
@@ -680,7 +685,7 @@
 
     private PastConnect past(Connect c, boolean neverRan) {
         // A zone that the settings don't name has another number in another process: then it is like no other.
-        return new PastConnect(c.number, name(c.endpoint), Math.max(-1, c.endpoint.zone), c.sentAt + wallAhead, neverRan);
+        return new PastConnect(c.number, name(c.endpoint), Math.max(-1, c.endpoint.zone), c.sentAt, neverRan);
     }
 
     @Override public void ended(HeldMail mail, Connect connect, Outcome outcome, double[] report, boolean over) {
