--- a/lab/src/main/java/wrenreach/lab/Load.java
+++ b/lab/src/main/java/wrenreach/lab/Load.java
@@ -93,7 +93,8 @@
         throw new IOException("no part of 127.0.0.0/8 is free: " + slots + " runs are under way");
     }
 
-    private static Trials.Trial day(Scenario day, Experiment.Setup setup, int value, Path logs) throws IOException, InterruptedException {
+    /** Plays one day; logs: the folder for what its processes wrote. */
+    static Trials.Trial day(Scenario day, Experiment.Setup setup, int value, Path logs) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("wrenreach-load-");
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
         EventLoop loop = group.next();
--- /dev/null
+++ b/lab/src/main/java/wrenreach/lab/SoakDay.java
@@ -0,0 +1,149 @@
+package wrenreach.lab;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import wrenreach.api.Settings.Effect;
+
+/**
+ * Draws one day of the soak from its seed: a fleet of processes, its traffic, and one to four troubles. A trouble is one fault or a
+ * series of them, of the process (signals, reloads), of its machine (system calls, clock, folder), of its receivers or of its links.
+ */
+final class SoakDay {
+    private static final int MOST_TROUBLES = 4, MOST_NODES = 5, LARGE_FLEET = 20, ONE_LARGE_IN = 12;
+    private static final int LENGTH_MS = 9000, QUIET_MS = 5000, EARLIEST_MS = 700, LATEST_MS = 5500;
+    private static final double MOST_FAILING = 0.3;
+
+    private final UniformRandomProvider random;
+    private final int nodes;
+    private final int receivers;
+    private final List<Scenario.Fault> faults = new ArrayList<>();
+
+    private SoakDay(long seed) {
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 53 + 11);
+        nodes = random.nextInt(ONE_LARGE_IN) == 0 ? LARGE_FLEET : 3 + random.nextInt(MOST_NODES - 2);
+        receivers = 2 * (1 + random.nextInt(3));
+    }
+
+    /** The day of this seed. */
+    static Scenario of(long seed) {
+        SoakDay day = new SoakDay(seed);
+        // Some troubles come only after a long quiet time.
+        int quiet = day.random.nextInt(4) == 0 ? QUIET_MS : 0;
+        int troubles = 1 + day.random.nextInt(MOST_TROUBLES);
+        for (int i = 0; i < troubles; i++) {
+            day.trouble(quiet + EARLIEST_MS + day.random.nextInt(LATEST_MS - EARLIEST_MS));
+        }
+        Map<Scenario.Figure, Integer> figures = new EnumMap<>(Scenario.Figure.class);
+        figures.put(Scenario.Figure.NODES, day.nodes);
+        figures.put(Scenario.Figure.DESTINATIONS, day.receivers / 2);
+        figures.put(Scenario.Figure.ENDPOINTS, 2);
+        figures.put(Scenario.Figure.ZONES, 1 + day.random.nextInt(2));
+        figures.put(Scenario.Figure.RATE, 30 + day.random.nextInt(60));
+        figures.put(Scenario.Figure.LENGTH, LENGTH_MS + quiet);
+        day.faults.sort(Comparator.comparingInt(Scenario.Fault::atMs));
+        return new Scenario(seed, figures, day.classes(), day.faults);
+    }
+
+    private List<Scenario.QueueClass> classes() {
+        List<Scenario.QueueClass> all = new ArrayList<>();
+        for (Effect effect : Effect.values()) {
+            all.add(new Scenario.QueueClass(effect.name().toLowerCase(java.util.Locale.ROOT), effect, 1 + random.nextInt(5),
+                    800 + random.nextInt(800), 2500 + random.nextInt(3500), 1 + random.nextInt(3)));
+        }
+        return all;
+    }
+
+    private void trouble(int at) {
+        switch (random.nextInt(4)) {
+            case 0 -> process(at);
+            case 1 -> machine(at);
+            case 2 -> receiver(at);
+            default -> link(at);
+        }
+    }
+
+    private void process(int at) {
+        int node = random.nextInt(nodes);
+        switch (random.nextInt(8)) {
+            case 0 -> add(Scenario.Kind.KILL, node, at, 300);
+            case 1 -> add(Scenario.Kind.STOP, node, at, 300);
+            case 2 -> {
+                add(Scenario.Kind.RELOAD, node, at, 1500);
+                add(Scenario.Kind.STOP, node, at + 60, 300);
+            }
+            case 3 -> {
+                add(Scenario.Kind.STOP, node, at, 300);
+                add(Scenario.Kind.STOP, node, at + 200, 300);
+            }
+            case 4 -> {
+                add(Scenario.Kind.KILL, node, at, 200);
+                add(Scenario.Kind.STOP, node, at + 350, 300);
+            }
+            case 5 -> {
+                add(Scenario.Kind.RELOAD, node, at, 400);
+                add(Scenario.Kind.RELOAD, node, at + 700, 300);
+            }
+            case 6 -> add(Scenario.Kind.FREEZE, node, at, 300 + random.nextInt(1500));
+            default -> add(Scenario.Kind.IGNORES_TERM, node, at, 300);
+        }
+    }
+
+    private void machine(int at) {
+        int node = random.nextInt(nodes);
+        int length = 500 + random.nextInt(3000);
+        double share = 0.02 + random.nextDouble() * (MOST_FAILING - 0.02);
+        switch (random.nextInt(9)) {
+            case 0 -> fails(Scenario.Kind.SOCKET_FAILS, node, share, at, length);
+            case 1 -> fails(Scenario.Kind.CONNECT_FAILS, node, share, at, length);
+            case 2 -> fails(Scenario.Kind.ACCEPT_FAILS, node, share, at, length);
+            case 3 -> fails(Scenario.Kind.TRANSFER_FAILS, node, share / 10, at, length);
+            case 4 -> fails(Scenario.Kind.SHORT_TRANSFERS, node, 2 * share, at, length);
+            case 5 -> fails(Scenario.Kind.WAITS_INTERRUPTED, node, share, at, length);
+            case 6 -> fails(Scenario.Kind.FOLDER_FAILS, node, random.nextInt(2) == 0 ? 1 : share, at, Math.min(length, 2000));
+            case 7 -> {
+                fails(Scenario.Kind.WALL_AHEAD, node, 3600, at, 30_000);
+                add(Scenario.Kind.KILL, node, at + random.nextInt(400), 300);
+            }
+            default -> {
+                add(Scenario.Kind.KILL, node, at, 300);
+                fails(Scenario.Kind.WALL_BEHIND, node, 3600, at + 100, 30_000);
+            }
+        }
+    }
+
+    private void receiver(int at) {
+        Scenario.Kind[] kinds = {Scenario.Kind.DOWN, Scenario.Kind.VANISH, Scenario.Kind.SILENT, Scenario.Kind.SLOW, Scenario.Kind.FULL,
+            Scenario.Kind.ERRING, Scenario.Kind.DRAIN};
+        add(kinds[random.nextInt(kinds.length)], random.nextInt(receivers), at, 500 + random.nextInt(2500));
+    }
+
+    private void link(int at) {
+        String node = "n" + random.nextInt(nodes);
+        String other = List.of("platform", "r" + random.nextInt(receivers), "receivers").get(random.nextInt(3));
+        int length = 300 + random.nextInt(1500);
+        switch (random.nextInt(5)) {
+            case 0 -> faults.add(new Scenario.Fault(Scenario.Kind.CUT, node + "-" + other, 0, 0, at, null, length));
+            case 1 -> faults.add(new Scenario.Fault(Scenario.Kind.REFUSE, node + "-" + other, 0, 0, at, null, length));
+            case 2 -> faults.add(new Scenario.Fault(Scenario.Kind.DELAY, node + "-" + other, 60, 30, at, null, length));
+            case 3 -> faults.add(new Scenario.Fault(Scenario.Kind.HALF, other + ">" + node, 0, 0, at, null, length));
+            default -> {
+                for (int i = 0; i < 10; i++) {
+                    faults.add(new Scenario.Fault(Scenario.Kind.RESET, "nodes-receivers", 0.3, 0, at + 100 * i, null, 1));
+                }
+            }
+        }
+    }
+
+    private void add(Scenario.Kind kind, int which, int at, int length) {
+        faults.add(new Scenario.Fault(kind, which, at, length));
+    }
+
+    private void fails(Scenario.Kind kind, int node, double figure, int at, int length) {
+        faults.add(new Scenario.Fault(kind, Integer.toString(node), Math.round(1000 * figure) / 1000.0, 0, at, null, length));
+    }
+}
