Rate limiting, slow start and repeats in modules of their own; the same decisions

RateLimiter holds limits, shares, the token bucket, slow start and load reports under standard names, RepeatPolicy what earlier attempts allow; both are named in policy, comments are contracts.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -27,22 +27,13 @@
     private static final double FAILS_MOSTLY = 0.75, FAILS_OFTEN = 0.5;
     // Ratios to the target delay: worth is lost on that scale. Rest and cut-off leave time for another try
     // within it; burst is what a receiver's short queue takes; the share regains slower than bursts come.
-    private static final double RING_SPAN = 2, CAME_SPAN = 6, REST = 0.4, CUT = 0.6, SHUT_AFTER = 1.5,
-            FIRST_USUAL = 0.1, BURST = 0.15, REGAIN = 12, HEARTBEAT = 0.04;
+    private static final double REST = 0.4, CUT = 0.6, SHUT_AFTER = 1.5, FIRST_USUAL = 0.1, HEARTBEAT = 0.04;
     // Ratios to a route's usual time: one call in some hundred takes over 6 times the mean where times spread
     // as an exponential does or somewhat wider; two places keep one busy while the other is on its way.
     private static final double CUT_USUAL = 8, CUT_HUNG = 6, OVERDUE = 6, PLACES = 2, CLIP = 3, SLOWED = 4;
     // Weights of a new sample: the usual time must outlast a slow spell, the recent one must see it.
     private static final int LATE = 4, FIRST_LEARNT = 4;
-    private static final double LEARN = 0.03, LEARN_RECENT = 0.3, LEARN_LIMIT = 0.2, LEARN_FALL = 0.5;
-    // Pace: parts of a route's limit, and of its reported allowance.
-    private static final double BACK_OFF = 0.7, LEAST_SHARE = 0.5, FLOOR = 0.5, SCARCE_GAP = 0.5,
-            SCARCE = 0.15, PLENTY = 0.65, FEW = 3;
-    // Where reports tell the allowance: the share that a node starts from, in parts; how fast, in powers a
-    // target delay, it follows what is left, and what is left where it stays.
-    private static final double RUSH = 1.5, STEER = 4, MIDDLE = 0.5, STALE = 0.3;
-    // What a busy node of a sparse fleet may send to a cold route, in even parts: the idle ones leave theirs.
-    private static final double UNEVEN = 2.5;
+    private static final double LEARN = 0.03, LEARN_RECENT = 0.3;
     // Usual times for which each of ROOMY nodes, longer of fewer, keeps a connection: an endpoint takes a few
     // for each call that it serves.
     private static final double KEEP = 2, KEEP_NEW = 10;
@@ -57,7 +48,7 @@
     // connections, other zones.
     private static final double JOIN = -50, SHUN = 100, TRIED = 5, NEW_CONNECTION = 2, OTHER_ZONE = 1;
 
-    private final int nodes, me, zone, slots, lane, heldLimit, tries, leftAt, rateAt, proof;
+    private final int nodes, me, zone, slots, lane, heldLimit, tries, leftAt, proof;
     private final long seed, tick, retryAfterLimit, idleFor, askEvery, coldFor, orderSettle, target, longest;
     private final boolean copies, mayCallOff, listOnRequest, weighed;
     private final double overShareImportance, coldFrom, overload;
@@ -67,6 +58,8 @@
     private final long[] quotaAt;
     private final int[] roomy;
     private final LocalFaultBackoff localFaults;
+    private final RateLimiter rates;
+    private final RepeatPolicy repeats;
 
     private final List<Destination> known = new ArrayList<>();
     /** Those with mails in line or calls out: all that a turn walks. */
@@ -97,7 +90,6 @@
         askEvery = s.listAskWithin() / ASK_PART;
         overShareImportance = s.overShareImportance();
         leftAt = s.allowanceLeftAt();
-        rateAt = s.allowanceRateAt();
         classes = s.classes();
         kinds = s.kinds();
         roomy = new int[kinds.size() + 1];
@@ -111,6 +103,8 @@
         orderSettle = s.rules().orderSettle();
         target = classes.stream().mapToLong(Settings.QueueClass::targetDelay).min().orElse(SECOND);
         localFaults = new LocalFaultBackoff(target);
+        rates = new RateLimiter(s, target, known::size);
+        repeats = new RepeatPolicy(classes, tick);
         longest = classes.stream().mapToLong(Settings.QueueClass::lifetime).max().orElse(SECOND);
     }
 
@@ -165,7 +159,7 @@
             return take();
         }
         localFaults.worked();
-        hear(c.endpoint, report, now);
+        rates.onLoadReport(c.endpoint, report, now);
         // Guards the wait rule: each mail of a call brings its own wait, some a tick later than the first.
         if (outcome instanceof Outcome.Full full && full.pause() > 0) {
             Route r = c.endpoint.route;
@@ -240,7 +234,7 @@
                 e.route.weight = weighed && entry.weight() > 0 && e.ready ? entry.weight() : e.route.weight;
                 // Guards limits against many nodes that start at once, or find a new destination at once.
                 if (fresh && leftAt >= 0) {
-                    e.route.share = Math.min(e.route.share, rush(e.route, 1.0 / nodes));
+                    e.route.share = Math.min(e.route.share, rates.burstShare(e.route, 1.0 / nodes));
                 }
             }
         }
@@ -255,6 +249,7 @@
         long missed = wakeAt > turnAt && now - wakeAt > LATE * tick ? now - wakeAt : 0;
         late = Math.min(target, Math.max(missed, late - (long) (late * Math.min(1.0, (double) (now - turnAt) / longest))));
         turnAt = now;
+        rates.iteration(now);
         soonest = now + (long) (HEARTBEAT * target);
         if (listOnRequest && !following && now >= askAt) {
             following = true;
@@ -327,7 +322,7 @@
         for (Route r : d.routes) {
             long opens = r.breaker.phase == Breaker.Phase.OPEN ? r.breaker.restsUntil : now;
             start = Math.min(start, Math.max(0, Math.max(opens, r.heldUntil) - now));
-            pace += pace(r, now) * batch(r);
+            pace += rates.rate(r, now) * batch(r);
         }
         return pace <= 0 ? 0 : start + (long) (ahead / pace * SECOND);
     }
@@ -481,7 +476,9 @@
         if (sick(r, now) && (r.calls.size() >= 1 || laneOut(now) >= lane)) {
             return false;
         }
-        return hasToken(r, now) || lastTry(m, r, now);
+        long tokenAt = rates.tokenAt(r, now);
+        later(tokenAt, now);
+        return tokenAt == now || lastTry(m, r, now);
     }
 
     private boolean shunned(Endpoint e, long now) {
@@ -494,7 +491,7 @@
 
     private int places(Endpoint e, long now) {
         Route r = e.route;
-        int most = (int) Math.ceil(PLACES * limit(r) * r.usual / SECOND / Math.max(1, r.endpoints));
+        int most = (int) Math.ceil(PLACES * rates.limit(r) * r.usual / SECOND / Math.max(1, r.endpoints));
         if (now - e.capAt > coldFor) {
             e.cap = Integer.MAX_VALUE;
         }
@@ -519,35 +516,7 @@
         if (m.out > 0 && !copies || now + (m.connects.isEmpty() ? 0 : (long) r.usual) + 4 * tick > m.endsBy) {
             return false;
         }
-        return mayRepeat(m, e, now);
-    }
-
-    /** Whether what the mail's earlier connects may have done allows one to this endpoint. */
-    private boolean mayRepeat(Mail m, Endpoint e, long now) {
-        Settings.QueueClass kind = classOf(m);
-        if (kind.effect() == Settings.Effect.REDELIVERABLE) {
-            return true;
-        }
-        for (Connect c : m.connects) {
-            if (c.neverRan) {
-                continue;
-            }
-            boolean once = kind.effect() == Settings.Effect.ONCE_ONLY;
-            if (once || now > repeatsBy(kind, c) || !sameGroup(kind, c.endpoint, e)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /** Until when a repeat of what this connect may have done is known as one. */
-    private long repeatsBy(Settings.QueueClass kind, Connect c) {
-        return c.sentAt + kind.repeatWindow() - 2 * tick;
-    }
-
-    private static boolean sameGroup(Settings.QueueClass kind, Endpoint a, Endpoint b) {
-        return a == b || kind.repeatGroup() == Settings.RepeatGroup.ALL
-                || kind.repeatGroup() == Settings.RepeatGroup.ZONE && a.zone == b.zone;
+        return repeats.mayAttempt(m, e, now);
     }
 
     private void send(Mail m, Endpoint e, long now) {
@@ -574,7 +543,7 @@
         Connect c = new Connect(m, e, now, Math.min(now + cut, m.endsBy - 2 * tick), call);
         if (classOf(m).effect() == Settings.Effect.TAGGED) {
             for (Connect past : m.connects) {
-                c.goesBy = past.neverRan ? c.goesBy : Math.min(c.goesBy, repeatsBy(classOf(m), past));
+                c.goesBy = past.neverRan ? c.goesBy : Math.min(c.goesBy, repeats.repeatsUntil(m, past));
             }
         }
         m.connects.add(c);
@@ -692,145 +661,6 @@
         }
     }
 
-    // ---- Pace ----
-
-    private double limit(Route r) {
-        if (r.limitSeen) {
-            return r.limit;
-        }
-        if (r.weight > 0) {
-            return r.weight;
-        }
-        // Nothing tells the limit: what all slots could do shared evenly by the destinations, or what came
-        // here, as if to each node. Guards small receivers that return: their part of the slots is many times
-        // what they take.
-        double shared = SECOND * slots * nodes / r.usual / Math.max(1, known.size());
-        double came = (double) SECOND * nodes * Math.max(1, r.mails) / Math.max(target, turnAt - r.knownFrom);
-        return Math.min(shared, came);
-    }
-
-    /**
-     * This node's part of a route that all use: the even one, or what lately came for it against its limit.
-     * Guards sparse nodes among many, whose even part is one mail in minutes: those with mails now share the
-     * limit, those without leave theirs. Harm: where all get more than the limit, so do the parts.
-     */
-    private double part(Route r, long now) {
-        double plenty = plenty(r, now);
-        double came = (plenty / RING_SPAN + r.came.sum(now) / CAME_SPAN) / target * SECOND;
-        double even = 1.0 / nodes;
-        // Where the even part is more than a mail in a target delay, all have mails in a rush: no one takes
-        // more then.
-        return Math.min(1, even + Math.max(0, came / limit(r) - even) * Math.max(plenty, sparse(r)));
-    }
-
-    /** 1 where the even part is a mail in a target delay or less, so that one is alone; else that over it. */
-    private double sparse(Route r) {
-        return Math.min(1, SECOND * (double) nodes / (limit(r) * target));
-    }
-
-    /** The share from which a rush may start: a clump comes to all nodes at once, but for sparse ones. */
-    private double rush(Route r, double part) {
-        return Math.min(1, Math.max(RUSH * part, sparse(r) * sparse(r)));
-    }
-
-    /** The time between this node's mails at its part of the limit, within reason. */
-    private double spacing(Route r, long now) {
-        return Math.min(SCARCE_GAP * target, SECOND / limit(r) / part(r, now));
-    }
-
-    /**
-     * This node's share of the limit as it stands. Guards a limit shared by many: regained shares add up, so
-     * each regains slower the more they are. Reports move it; a node that has heard none for a target delay
-     * regains as without, to where a rush may start, or a few fulls would outlast the rush that they met.
-     */
-    private double share(Route r, long now) {
-        double part = part(r, now);
-        boolean stale = r.limitSeen && now - r.leftAt > target;
-        long since = r.limitSeen ? Math.max(r.shareAt, r.leftAt + target) : r.shareAt;
-        double regained = r.share + Math.max(0, now - since) * Math.min(1, FEW / nodes) / (REGAIN * target);
-        double grown = Math.min(regained, stale ? rush(r, part) : 1);
-        // Guards a limit shared by many nodes that see few refusals each: as the reported allowance runs low,
-        // all fall back to their even part. Harm: where it counts by spans, the end of a span looks scarce.
-        return Math.min(grown, part + (1 - part) * plenty(r, now));
-    }
-
-    /** From 1 where allowance is left, or no report of late tells, to 0 where there is none. */
-    private double plenty(Route r, long now) {
-        if (!r.limitSeen || now - r.leftAt > CAME_SPAN * target) {
-            return 1;
-        }
-        return Math.max(0, Math.min(1, (r.left - SCARCE) / (PLENTY - SCARCE)));
-    }
-
-    private double pace(Route r, long now) {
-        // Guards a sparse node's only mail, whose lowered share would outlast it. Not once the allowance runs
-        // low: the floors of 100 nodes come to several small limits.
-        double pace = Math.max(limit(r) * share(r, now), plenty(r, now) < 1 ? 0 : SECOND / (FLOOR * target));
-        if (r.cold && r.warmsFrom != NEVER && now >= r.warmsFrom + coldFor) {
-            r.cold = false;
-        }
-        if (r.cold) {
-            double warm = r.warmsFrom == NEVER ? 0 : (double) (now - r.warmsFrom) / coldFor;
-            double can = limit(r) * (coldFrom + (1 - coldFrom) * warm);
-            // Not more than the even part or the share that fulls have left: parts add up to the traffic, and
-            // a returning receiver would get all of it.
-            double most = sparse(r) < 1 ? Math.max(1.0 / nodes, r.share) : UNEVEN / nodes;
-            pace = Math.min(pace, overload * can * Math.min(part(r, now), most));
-        }
-        return pace;
-    }
-
-    private boolean hasToken(Route r, long now) {
-        double pace = pace(r, now);
-        double most = r.cold ? 1 : Math.max(1, pace * BURST * target / SECOND);
-        r.tokens = Math.min(most, r.tokens + pace * (now - r.tokensAt) / SECOND);
-        r.tokensAt = now;
-        if (r.tokens >= 1 - 1e-9) {
-            return true;
-        }
-        later(now + (long) Math.ceil((1 - r.tokens) / pace * SECOND), now);
-        return false;
-    }
-
-    private void hear(Endpoint e, double[] report, long now) {
-        Route r = e.route;
-        if (rateAt >= 0 && rateAt < report.length && report[rateAt] > 0) {
-            // A lowered limit is believed at once, by many nodes that see a report or two a second; a raised
-            // one slowly.
-            double off = r.limitSeen ? report[rateAt] - r.limit : report[rateAt];
-            r.limit += off * (r.limitSeen ? off < 0 ? LEARN_FALL : LEARN_LIMIT : 1);
-            r.limitSeen = true;
-        }
-        if (leftAt >= 0 && leftAt < report.length) {
-            r.left = report[leftAt];
-            r.leftAt = now;
-            if (r.limitSeen) {
-                steer(r, !e.to.line.isEmpty() && !r.cold, now);
-            }
-        }
-    }
-
-    /**
-     * Guards a limit shared by nodes that each see little of it: a share follows the reported allowance, up
-     * while some is left and mails wait here, so those with mails find what the others leave within a target
-     * delay or two; without mails it is at most where a rush may start, as a clump comes to all nodes at
-     * once. Harm: late reports make shares swing.
-     */
-    private void steer(Route r, boolean waiting, long now) {
-        double part = part(r, now);
-        // A report speaks for no more than the time by which it may be old. Guards against many nodes that
-        // each hear one in seconds: all moved by whole powers at once, from far too much to next to nothing
-        // and back.
-        double powers = STEER * (r.left - MIDDLE) * Math.min(STALE * target, now - r.shareAt) / target;
-        double most = waiting ? 1 : rush(r, part);
-        // Only fulls take it under the part: a limit counted by spans shows little left at each span's end.
-        double least = Math.min(r.share, part);
-        // Guards against reports older than the last full, which show all that it found used up.
-        most = now - r.fellAt < STALE * target ? Math.min(most, r.share) : most;
-        r.share = Math.max(least, Math.min(most, r.share * Math.exp(powers)));
-        r.shareAt = now;
-    }
-
     // ---- What an outcome teaches ----
 
     private void learn(Connect c, Outcome outcome, long now) {
@@ -890,20 +720,13 @@
         pause(r, wait, true, now);
         // A full that reports allowance left met a moment's rush, or the report is late: down to the part at
         // most.
-        boolean rush = r.limitSeen && r.leftAt == now && r.left > SCARCE;
+        boolean rush = RateLimiter.rejectedInBurst(r, now);
         if (!rush) {
             r.deferred.add(now);
         }
         if (now - r.fellAt > r.usual) {
-            // Not under the even part: what came here adds up to many times the limit where all nodes have
-            // mails.
-            double least = (rush ? 1 : LEAST_SHARE) / nodes;
-            r.share = Math.max(least, Math.min(share(r, now), RUSH * part(r, now)) * BACK_OFF);
-            r.shareAt = r.fellAt = now;
-            // What was saved up is spent but for a part by chance: all nodes meet a limit at once, and with a
-            // whole turn in hand would come again in step. Harm: the next span of a count finds some without
-            // a turn.
-            r.tokens = rush ? r.tokens : Math.min(r.tokens, chance(now));
+            // Drawn here, and only where it is used: the same draws in the same order.
+            rates.onRejection(r, rush ? 0 : chance(now), now);
         }
         if (rush) {
             return;
@@ -921,16 +744,16 @@
      */
     private void pause(Route r, long wait, boolean full, long now) {
         boolean none = full && now - r.relayedAt > target;
-        boolean scarce = !none && r.limitSeen && r.leftAt == now && r.left <= SCARCE;
-        double gap = none ? Math.max(r.usual, spacing(r, now) * (1 + chance(wait))) : r.usual;
+        boolean scarce = !none && r.limitSeen && r.leftAt == now && r.left <= RateLimiter.SCARCE;
+        double gap = none ? Math.max(r.usual, rates.interval(r, now) * (1 + chance(wait))) : r.usual;
         gap = Math.min(2 * target, gap * Math.scalb(1.0, Math.min(r.deferredRun++, DOUBLINGS)));
         // A limit that relays is shared by pace: by chance each skips one of its turns in the mean, and no
         // more.
-        gap = scarce ? 2 * spacing(r, now) * chance(wait) : gap;
+        gap = scarce ? 2 * rates.interval(r, now) * chance(wait) : gap;
         if (now + wait - r.downSince > target) {
             gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
         } else if (wait > 0) {
-            gap = now - r.relayedAt > target ? 2 * spacing(r, now) * chance(wait) : 0;
+            gap = now - r.relayedAt > target ? 2 * rates.interval(r, now) * chance(wait) : 0;
         }
         r.heldUntil = Math.max(r.heldUntil, now + wait + (long) gap);
     }
@@ -952,7 +775,7 @@
             // the first failure with no relay of late paces it as cold; where a node is sparse the second in a
             // row, as it may not see a third. Not the first there: that pace is a mail in half a minute.
             boolean spare = now - r.relayedAt > target && (c.endpoint.to.routes.size() > 1
-                    || sparse(r) >= 1 && b.failedRun >= SUSPECT_RUN);
+                    || rates.sparseness(r) >= 1 && b.failedRun >= SUSPECT_RUN);
             if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
@@ -996,8 +819,8 @@
      * most all, bring no more than it can do when it returns. Harm: an outage ends late at sparse nodes.
      */
     private double rest(Route r, long now) {
-        double waiting = Math.min(nodes, limit(r) * (now - r.downSince) / SECOND);
-        return Math.max(REST * target, TRIAL_FILL * SECOND * waiting / (overload * coldFrom * limit(r)));
+        double waiting = Math.min(nodes, rates.limit(r) * (now - r.downSince) / SECOND);
+        return Math.max(REST * target, TRIAL_FILL * SECOND * waiting / (overload * coldFrom * rates.limit(r)));
     }
 
     private static void closed(Breaker b, long now) {
@@ -1059,7 +882,7 @@
         // Guards a down receiver against quick tries of many nodes, each too few to open a breaker: a failed
         // mail goes again by the node's part. Harm: one that met a stray failure waits where nodes are many.
         if (outcome instanceof Outcome.Unreached || !outcome.neverRan()) {
-            m.notBefore = now + (long) (spacing(lastAt(m).route, now) * chance(m.id));
+            m.notBefore = now + (long) (rates.interval(lastAt(m).route, now) * chance(m.id));
         }
         int at = m.to.line.size();
         while (at > 0 && m.to.line.get(at - 1).sequence > m.sequence) {
@@ -1072,7 +895,7 @@
     private boolean repeatable(Mail m, long now) {
         for (Endpoint e : m.to.endpoints) {
             long opens = e.route.breaker.phase == Breaker.Phase.OPEN ? e.route.breaker.restsUntil : now;
-            if (e.ready && mayRepeat(m, e, Math.max(now, Math.max(opens, e.route.heldUntil)))) {
+            if (e.ready && repeats.mayAttempt(m, e, Math.max(now, Math.max(opens, e.route.heldUntil)))) {
                 return true;
             }
         }
@@ -1087,7 +910,7 @@
                 // short of its core: they come before their time by as much as its wakes came after theirs.
                 EndReason reason = now + 3 * tick + late >= m.endsBy ? EndReason.DEADLINE
                         : m.connects.size() >= tries ? EndReason.ATTEMPTS_USED_UP
-                        : ranMaybe(m) && !repeatable(m, now) ? EndReason.REPEAT_WINDOW_OVER : null;
+                        : RepeatPolicy.mayHaveRun(m) && !repeatable(m, now) ? EndReason.REPEAT_WINDOW_OVER : null;
                 if (reason != null) {
                     end(m, expectedWait(d, 0, now), reason, now);
                 } else {
@@ -1098,36 +921,17 @@
         }
     }
 
-    private static boolean ranMaybe(Mail m) {
-        boolean ran = false;
-        for (Connect c : m.connects) {
-            ran |= !c.neverRan;
-        }
-        return ran;
-    }
-
     /** The door of every ending. */
     private void end(Mail m, long wait, EndReason reason, long now) {
         if (m.over) {
             return;
         }
         long after = Math.min(wait, retryAfterLimit);
-        answers.add(mayDefer(m, now) ? new Answer.Defer(m, after, reason) : new Answer.Bounce(m, reason));
+        answers.add(repeats.mayDefer(m, now) ? new Answer.Defer(m, after, reason) : new Answer.Bounce(m, reason));
         finish(m);
         leaveKey(m);
     }
 
-    private boolean mayDefer(Mail m, long now) {
-        Settings.QueueClass kind = classOf(m);
-        if (kind.effect() == Settings.Effect.REDELIVERABLE || !ranMaybe(m)) {
-            return true;
-        }
-        if (kind.effect() == Settings.Effect.ONCE_ONLY || kind.repeatGroup() != Settings.RepeatGroup.ALL) {
-            return false;
-        }
-        return m.connects.stream().allMatch(c -> c.neverRan || now <= c.sentAt + kind.repeatWindow());
-    }
-
     private void finish(Mail m) {
         if (!m.over) {
             m.over = true;
@@ -1168,7 +972,7 @@
         } else if (e.route == null) {
             String name = "destination " + e.to.number + (apart ? " route " + routes.size() : "");
             e.route = new Route(name, Math.min(e.kind, kinds.size()), RING,
-                    (long) (RING_SPAN * target / RING), (long) (CAME_SPAN * target / RING));
+                    (long) (RateLimiter.OUTCOME_WINDOW * target / RING), (long) (RateLimiter.ARRIVAL_WINDOW * target / RING));
             e.route.recent = e.route.usual = FIRST_USUAL * target;
             e.route.learnt = FIRST_LEARNT;
             e.route.shareAt = e.route.knownFrom = now;
