--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -19,11 +19,8 @@
 import wrenreach.api.Listing;
 import wrenreach.api.Outcome;
 import wrenreach.api.Settings;
-import wrenreach.endpoints.EndpointTable;
 import wrenreach.endpoints.ListLine;
-import wrenreach.endpoints.ListLog;
 import wrenreach.endpoints.ListSink;
-import wrenreach.endpoints.Passing;
 import wrenreach.frame.Host;
 import wrenreach.frame.NodeEvent;
 import wrenreach.frame.Running;
@@ -56,7 +53,7 @@
  * brought, asks the module, writes one batch of records to the journal and only then lets bytes go out:
  * clients' answers first, then calls and notices.
  */
-public final class DeliveryNode implements Door.Host, Calls.Host, Discovery.Host, PlannedStop.Host, Host {
+public final class DeliveryNode implements Door.Host, Calls.Host, Discovery.Host, PlannedStop.Host, EndpointLists.Node, Host {
     private static final System.Logger LOG = System.getLogger(DeliveryNode.class.getName());
     /** Descriptors kept for files, the loop, discovery and notices; connections that may idle, a slot. */
     private static final int OWN_DESCRIPTORS = 32, IDLE_A_SLOT = 8;
@@ -66,8 +63,6 @@
     private static final long PATIENCE = 400_000;
     /** A node that was behind is taken to be so for this many times as long. */
     private static final int RECOVERS = 8;
-    /** Rows of the list that are tidied up at once, and microseconds until the next ones are. */
-    private static final int SLICE = 1000, TIDY_GAP = 2000;
     /** Bytes that the last line of a node that runs out of memory takes, classes read for it counted, and a margin. */
     private static final int RESERVE = 256 * 1024;
     /** Lines on breakers in that time; where more receivers fail at once, staff act on the number. */
@@ -90,12 +85,7 @@
     private final Calls calls;
     private final Notices notices;
     private final Discovery discovery;
-    /** What discovery said, in this life or the one before; kept for the next where that is due. */
-    private final EndpointTable told;
-    private final ListLog kept;
-    /** What holds: the same, unless a subsystem decides what of it goes on. */
-    private EndpointTable inForce;
-    private boolean tidying;
+    private final EndpointLists lists;
     private final Directory<String> directory = new Directory<>();
     private EndpointsInUse endpoints;
     private final HeldMails held;
@@ -127,8 +117,6 @@
     /** Of the mails found at the start that were never tried: how many are left, were called, were given up. */
     private int untried, called, givenUp;
     private boolean sending = true;
-    /** Until when nothing is sent by the list in the config alone. */
-    private long listBy = Long.MIN_VALUE;
 
     /** A node on the machine's sockets; nothing is done before {@link #start}. */
     public DeliveryNode(Config config, Ledger journal, Function<Settings, Dispatcher> module) {
@@ -163,35 +151,13 @@
                 settings.connectionTimeout(), idle);
         notices = new Notices(loop, sockets.connecting(), config.discovery(), this::heard,
                 settings.seed());
-        told = inForce = config.known();
-        kept = journal.lists();
-        String from = recall();
-        discovery = new Discovery(loop, sockets.connecting(), this, config.discovery(), Math.max(0, told.index()),
-                from.equals(Addresses.text(config.discovery())), !settings.listOnRequest(), ~settings.seed(),
+        String discoveryAddress = Addresses.text(config.discovery());
+        lists = new EndpointLists(this, subsystems, config.known(), journal.lists(), discoveryAddress);
+        discovery = new Discovery(loop, sockets.connecting(), this, config.discovery(), Math.max(0, lists.version()),
+                lists.recalledFrom().equals(discoveryAddress), !settings.listOnRequest(), ~settings.seed(),
                 Discovery.Patience.OF_NODES);
     }
 
-    /**
-     * Takes what an earlier process was told, if the config's list is no newer, and tells where the list that holds came from.
-     * Guards drains that it was told of: they hold for this one too, also while discovery says nothing. What can't be read is
-     * as if it were not there.
-     */
-    private String recall() {
-        String here = Addresses.text(config.discovery());
-        try {
-            ListLog.Kept earlier = kept.look();
-            if (earlier == null || earlier.index() < told.index()) {
-                return here;
-            }
-            kept.tell(told.sink());
-            return earlier.from();
-        } catch (IOException e) {
-            LogEvent.tell(LOG, Level.WARNING, "list.kept", "the list kept in the state folder can't be used: {why}",
-                    "why", String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
-            return here;
-        }
-    }
-
     public void start() {
         loop.execute(this::recover);
     }
@@ -276,15 +242,8 @@
     private void recover() {
         move(Phase.RECOVERING);
         turn();
-        if (subsystems.gates()) {
-            inForce = told.empty();
-        }
-        endpoints = new EndpointsInUse(config, inForce, directory, module, calls, answers::addAll);
-        if (inForce == told) {
-            endpoints.useAll(now);
-        } else {
-            listed(subsystems.discovered(told.whole(), now));
-        }
+        endpoints = new EndpointsInUse(config, lists.begin(), directory, module, calls, answers::addAll);
+        lists.start(endpoints, discovery, now);
         if (journal.resumed()) {
             held.resumes(now);
         }
@@ -319,10 +278,7 @@
                     "mails", owed.size(), "unconfirmed", untold);
         }
         if (!settings.listOnRequest()) {
-            // Guards drains told while no process ran: the list as known may be old, and what the agent has counts as
-            // told. It answers at once; where it is silent, the list as known has to do. A try that
-            // fails is no such silence, as the next may be answered; one that is refused has no list to wait for.
-            listBy = now + settings.rules().drainGrace();
+            lists.awaitUntil(now + settings.rules().drainGrace());
             later(this::turn, settings.rules().drainGrace());
             discovery.follow();
         }
@@ -459,7 +415,7 @@
         withdrawAbandoned();
         calls.dropForbidden();
         directory.sweep(now);
-        if (sending && (now >= listBy || discovery.refuses())) {
+        if (sending && lists.usable(now)) {
             answers.addAll(module.next(now));
         }
         // What is decided while decisions are carried out joins the queue: none is dropped.
@@ -726,7 +682,7 @@
      * The way into the loop's state for all that the sockets bring. Other threads are put on the loop, and named: two at a time would
      * lose decisions. A throw in the middle of a decision ends the node: by itself it only closes the connection that brought it.
      */
-    private void enter(Runnable news) {
+    @Override public void enter(Runnable news) {
         if (!loop.inEventLoop()) {
             LogEvent.tell(LOG, Level.ERROR, "loop.stranger", "a defect, report this line: thread {thread} brought news that only the event loop may "
                     + "bring; they are put on the loop", "thread", Thread.currentThread().getName());
@@ -744,72 +700,15 @@
     // ---- The list ----
 
     @Override public ListSink list() {
-        return new Passing(told.sink(kept::note)) {
-            @Override public void begin() {
-                super.begin();
-                kept.begin();
-            }
-
-            @Override public void entry(ListLine.Entry entry) throws IOException {
-                try {
-                    super.entry(entry);
-                } catch (Error e) {
-                    failed(true, e);
-                    throw e;
-                }
-            }
-
-            @Override public void end(long index, boolean whole) throws IOException {
-                turn();
-                super.end(index, whole);
-                enter(() -> discovered(whole));
-            }
-        };
-    }
-
-    /** What discovery has told last is in the table: it is kept before anything is done by it. */
-    private void discovered(boolean whole) {
-        for (int i = told.leftFrom(); i < told.touched(); i++) {
-            kept.note(told.entry(told.touched(i)));
-        }
-        kept.commit(told.index(), Addresses.text(discovery.address()), told);
-        if (told == inForce) {
-            listBy = Long.MIN_VALUE;
-            endpoints.changed(now);
-        } else {
-            listed(subsystems.discovered(whole ? told.whole() : told.changes(), now));
-        }
-        tidy();
+        return lists.incoming();
     }
 
     @Override public void listed(ListLine line) {
-        turn();
-        listBy = Long.MIN_VALUE;
-        try {
-            inForce.take(line);
-            endpoints.changed(now);
-        } catch (IOException e) {
-            LogEvent.tell(LOG, Level.ERROR, "list.toolarge", "{why}; the list in force stays", "why", e.getMessage());
-        }
-    }
-
-    /** Gives back what lists have left and writes a new snapshot, a slice a turn. */
-    private void tidy() {
-        if (!tidying) {
-            tidying = true;
-            later(() -> {
-                tidying = false;
-                boolean done = told.settle(SLICE) & inForce.settle(SLICE);
-                kept.slice(told);
-                if (!done || kept.slices()) {
-                    tidy();
-                }
-            }, TIDY_GAP);
-        }
+        lists.take(line);
     }
 
     @Override public void prepare(List<ListLine.Entry> entries) {
-        endpoints.prepare(entries);
+        lists.prepare(entries);
     }
 
     @Override public void listFailed() {
@@ -868,7 +767,7 @@
         try {
             journal.write(() -> { });
             journal.close();
-            kept.close();
+            lists.close();
         } catch (IOException e) {
             LogEvent.tell(LOG, Level.ERROR, "journal.close", "journal can't be closed: {why}", "why", e.getMessage());
         }
@@ -881,7 +780,7 @@
      * process that stays and serves nobody, and the state folder against a state that is half worked out. Up to where the reserve
      * is given back nothing may take memory, here and where it is called: also a text that is used for the first time does.
      */
-    private void failed(boolean inTurn, Throwable thrown) {
+    @Override public void failed(boolean inTurn, Throwable thrown) {
         reserve = null;
         if (phase == Phase.STOPPED) {
             return;
@@ -890,7 +789,7 @@
         try {
             LogEvent.tell(LOG, Level.ERROR, inTurn ? "turn.failed" : "node.failed",
                     "the node ends: {why}; what it owes stays in the state folder: {do}",
-                    "why", Failure.why(thrown, told.size(), held.size()), "do", Failure.toDo(thrown));
+                    "why", Failure.why(thrown, lists.size(), held.size()), "do", Failure.toDo(thrown));
             discovery.stop();
             journal.close();
         } catch (IOException | RuntimeException | Error again) {
--- a/node/src/test/java/wrenreach/net/CallsTest.java
+++ b/node/src/test/java/wrenreach/net/CallsTest.java
@@ -351,6 +351,42 @@
         }
     }
 
+    /**
+     * Closing a connection fails its unfinished write at once. That must not reach the decisions in the middle of who closes: it is
+     * while decisions are carried out that calls are revoked.
+     */
+    @Test void aRevokedCallWithAnUnfinishedWriteIsReportedInALaterTask() throws Exception {
+        try (ServerSocket small = new ServerSocket()) {
+            small.setReceiveBufferSize(1024);
+            small.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            Calls narrow = new Calls(loop, () -> {
+                NioSocketChannel channel = new NioSocketChannel();
+                channel.config().setSendBufferSize(1024);
+                return channel;
+            }, this, List.of(), 60 * SECOND, SECOND, 4);
+            HeldMail held = new HeldMail(new Submission("a", "", "c", "t", "", 1, new byte[64 * 1024]), 0);
+            held.mail = new Mail(1, to, null, 0, 0, turn(), turn() + 60 * SECOND);
+            Connect connect = new Connect(held.mail, endpoint, turn(), turn() + 30 * SECOND, new Call(turn()));
+            loop.submit(() -> {
+                narrow.locate(endpoint, (InetSocketAddress) small.getLocalSocketAddress());
+                narrow.send(held, connect);
+            }).get();
+            try (Socket socket = small.accept()) {
+                while (socket.getInputStream().available() == 0) {
+                    loop.submit(() -> {
+                        narrow.choose();
+                        narrow.flush(turn());
+                    }).get();
+                }
+                assertThat(loop.submit(() -> {
+                    narrow.revoke(connect);
+                    return ended.size();
+                }).get()).as("ends reported before revoke has returned").isZero();
+                assertThat(outcome()).isEqualTo(new Outcome.Unreached());
+            }
+        }
+    }
+
     @Test void aRevokedCallEndsItsConnection() throws Exception {
         Connect connect = send(30 * SECOND);
         try (Socket socket = accept()) {
