A test for each reason for which a client's connection is closed

Measured: DoorTest, 8 cases on loopback, passed; what was read before a shutdown or a close has its answer, who stops in the middle of a request hears an error within 3 s. Found by it: the reason was overwritten by the rest of half a request.

--- a/node/src/main/java/wrenreach/net/ClosedConnections.java
+++ b/node/src/main/java/wrenreach/net/ClosedConnections.java
@@ -35,11 +35,13 @@
     }
 
     private final Map<Reason, Integer> counts = new EnumMap<>(Reason.class);
+    private final Map<Reason, Integer> totals = new EnumMap<>(Reason.class);
     private long nextLine;
 
     /** One was closed; now: microseconds of the loop's clock; unanswered: requests that were read on it and have no answer. */
     void count(Reason reason, int unanswered, long now) {
         counts.merge(reason, 1, Integer::sum);
+        totals.merge(reason, 1, Integer::sum);
         if (unanswered > 0) {
             LogEvent.tell(LOG, Level.DEBUG, "client.unanswered", "closed with {count} requests unanswered: {reason}", "count", unanswered,
                     "reason", reason);
@@ -52,4 +54,9 @@
             counts.clear();
         }
     }
+
+    /** How many were closed for this reason since the start. */
+    int total(Reason reason) {
+        return totals.getOrDefault(reason, 0);
+    }
 }
--- a/node/src/main/java/wrenreach/net/Door.java
+++ b/node/src/main/java/wrenreach/net/Door.java
@@ -131,6 +131,11 @@
         }));
     }
 
+    /** Why connections were closed. */
+    ClosedConnections closed() {
+        return closed;
+    }
+
     private ChannelFuture bind(InetSocketAddress address) {
         return new ServerBootstrap().group(loop).channelFactory(listening)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
@@ -379,7 +384,8 @@
             if (cause instanceof DecoderException && !closed) {
                 channelRead0(context, new Request.Unreadable("malformed request", true));
             } else {
-                reason = ClosedConnections.Reason.BROKEN;
+                // What is left of half a request shows as an error when its connection closes: the reason stays the first one.
+                reason = closed ? reason : ClosedConnections.Reason.BROKEN;
                 context.close();
             }
         }
--- /dev/null
+++ b/node/src/test/java/wrenreach/net/DoorTest.java
@@ -0,0 +1,152 @@
+package wrenreach.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The ingress listener: each close of a client's connection has a reason, and what was read before it has its answer. */
+class DoorTest implements Door.Host {
+    private static final int LIMIT = 8;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Door door = new Door(group, NioServerSocketChannel::new, this, LIMIT);
+    private final CompletableFuture<InetSocketAddress> open = new CompletableFuture<>();
+    private final List<Socket> clients = new ArrayList<>();
+
+    @Override public void asked(Door.Asked asked) {
+        asked.answer(asked.request instanceof Request.Unreadable bad ? new Reply.Error(bad.why(), true) : new Reply.Pong());
+        loop.execute(door::flush);
+    }
+
+    private final Door.Opening opening = new Door.Opening() {
+        @Override public void opened(InetSocketAddress at) {
+            open.complete(at);
+        }
+
+        @Override public void failed(Throwable why) {
+            open.completeExceptionally(why);
+        }
+    };
+
+    @BeforeEach void listen() throws Exception {
+        loop.submit(() -> door.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), opening)).get();
+    }
+
+    @AfterEach void close() throws IOException {
+        for (Socket client : clients) {
+            client.close();
+        }
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private Socket client(String text) throws Exception {
+        InetSocketAddress at = open.get(20, TimeUnit.SECONDS);
+        Socket socket = new Socket(at.getAddress(), at.getPort());
+        socket.setSoTimeout(20_000);
+        clients.add(socket);
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    /** All that comes until the connection is closed. */
+    private static String rest(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    private void awaitClosed(ClosedConnections.Reason reason, int count) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (total(reason) < count && System.nanoTime() < until) {
+            Thread.sleep(5);
+        }
+        assertThat(total(reason)).as(reason.toString()).isEqualTo(count);
+    }
+
+    private int total(ClosedConnections.Reason reason) throws InterruptedException, ExecutionException {
+        return loop.submit(() -> door.closed().total(reason)).get();
+    }
+
+    @Test void aClientThatCloses() throws Exception {
+        Socket client = client("PING\r\n");
+        assertThat(client.getInputStream().read()).isEqualTo('+');
+        client.close();
+        awaitClosed(ClosedConnections.Reason.CLOSED_BY_CLIENT, 1);
+    }
+
+    @Test void aConnectionThatBreaks() throws Exception {
+        Socket client = client("PING\r\n");
+        assertThat(client.getInputStream().read()).isEqualTo('+');
+        client.setSoLinger(true, 0);
+        client.close();
+        awaitClosed(ClosedConnections.Reason.BROKEN, 1);
+    }
+
+    @Test void aClientThatIsIdle() throws Exception {
+        assertThat(rest(client("PING\r\n"))).isEqualTo("+PONG\r\n");
+        awaitClosed(ClosedConnections.Reason.IDLE, 1);
+    }
+
+    /** One that stops in the middle of a request and stays hears an error within the 3 s that it is owed. */
+    @Test void aClientThatStopsInTheMiddleOfARequest() throws Exception {
+        long begin = System.nanoTime();
+        assertThat(rest(client("*5\r\n$7\r\nENQ"))).startsWith("-ERR");
+        assertThat(System.nanoTime() - begin).isLessThan(TimeUnit.SECONDS.toNanos(3));
+        awaitClosed(ClosedConnections.Reason.REQUEST_TOO_SLOW, 1);
+    }
+
+    @Test void aClientThatSendsNoRequest() throws Exception {
+        assertThat(rest(client("*9999999\r\n"))).startsWith("-ERR");
+        awaitClosed(ClosedConnections.Reason.UNREADABLE, 1);
+    }
+
+    @Test void moreClientsThanMayBeKept() throws Exception {
+        for (int i = 0; i < 2 * LIMIT; i++) {
+            client("");
+        }
+        // Those that never asked have half of the room.
+        awaitClosed(ClosedConnections.Reason.TOO_MANY_CONNECTIONS, 2 * LIMIT - LIMIT / 2);
+    }
+
+    @Test void aShutdownAnswersWhatWasReadBefore() throws Exception {
+        Socket idle = client("PING\r\n");
+        assertThat(idle.getInputStream().read()).isEqualTo('+');
+        Socket fresh = client("PING\r\n");
+        loop.submit(door::close).get();
+        assertThat(rest(fresh)).isEqualTo("+PONG\r\n");
+        assertThat(rest(idle)).isEqualTo("PONG\r\n");
+        awaitClosed(ClosedConnections.Reason.SHUTDOWN, 2);
+    }
+
+    @Test void anAddressInUseIsToldOnTheLoop() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Boolean> onLoop = new CompletableFuture<>();
+            Door second = new Door(group, NioServerSocketChannel::new, this, LIMIT);
+            loop.submit(() -> second.open((InetSocketAddress) taken.getLocalSocketAddress(), new Door.Opening() {
+                @Override public void opened(InetSocketAddress at) {
+                    onLoop.completeExceptionally(new AssertionError("opened"));
+                }
+
+                @Override public void failed(Throwable why) {
+                    onLoop.complete(loop.inEventLoop());
+                }
+            })).get();
+            assertThat(onLoop.get(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+}
