--- a/app/src/test/java/wrenreach/app/SystemCallFaultsTest.java
+++ b/app/src/test/java/wrenreach/app/SystemCallFaultsTest.java
@@ -92,6 +92,6 @@
         assertThat(run.code()).as(run.said()).isZero();
         String log = run.log("1-1/n0.log");
         assertThat(number(log, "made to fail so far: CONNECT ")).isGreaterThan(10);
-        assertThat(log).doesNotContain("breaker opened by Unreached", "breaker opened by LocalFault");
+        assertThat(log).doesNotContain("breaker opened by ConnectFailed", "breaker opened by LocalFault");
     }
 }
--- a/app/src/test/java/wrenreach/app/WrongNode.java
+++ b/app/src/test/java/wrenreach/app/WrongNode.java
@@ -96,12 +96,12 @@
 
             @Override public List<Answer> ended(Connect connect, Outcome outcome, double[] report, boolean done, long now) {
                 Outcome told = outcome;
-                boolean mayHaveRun = outcome instanceof Outcome.Erred || outcome instanceof Outcome.TimedOut;
+                boolean mayHaveRun = outcome instanceof Outcome.ServerError || outcome instanceof Outcome.TimedOut;
                 if (wrong == Wrong.SENDS_ONCE_ONLY_AGAIN && mayHaveRun) {
                     told = new Outcome.NotSent(false);
                     connect.neverRan = true;
-                } else if (wrong == Wrong.DEAF_TO_WAITS && outcome instanceof Outcome.Full) {
-                    told = new Outcome.Full(0);
+                } else if (wrong == Wrong.DEAF_TO_WAITS && outcome instanceof Outcome.Rejected) {
+                    told = new Outcome.Rejected(0);
                 }
                 return twist(sound.ended(connect, told, report, done, now));
             }
--- a/bench/src/main/java/wrenreach/bench/capacity/FleetSlopes.java
+++ b/bench/src/main/java/wrenreach/bench/capacity/FleetSlopes.java
@@ -66,7 +66,7 @@
                 Event e = events.poll();
                 woken[e.node] = true;
                 said[e.node].addAll(e.comes != null ? choices.get(e.node).admit(e.comes, now) : choices.get(e.node).ended(e.ends,
-                        e.ends.sentAt < back ? new Outcome.Unreached() : new Outcome.Relayed(), new double[0], e.ends.sentAt >= back, now));
+                        e.ends.sentAt < back ? new Outcome.ConnectFailed() : new Outcome.Delivered(), new double[0], e.ends.sentAt >= back, now));
             }
             for (int i = 0; i < nodes; i++) {
                 if (!woken[i] && wakes[i] > now) {
--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -161,17 +161,17 @@
         localFaults.worked();
         rates.onLoadReport(c.endpoint, report, now);
         // Guards the wait rule: each mail of a call brings its own wait, some a tick later than the first.
-        if (outcome instanceof Outcome.Full full && full.pause() > 0) {
+        if (outcome instanceof Outcome.Rejected full && full.pause() > 0) {
             Route r = c.endpoint.route;
             r.toldUntil = Math.max(r.toldUntil, now + full.pause() + tick);
             r.heldUntil = Math.max(r.heldUntil, r.toldUntil);
         }
         learn(c, outcome, now);
-        if (mail.key != null && (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.Broken
-                || outcome instanceof Outcome.CalledOff)) {
+        if (mail.key != null && (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.ConnectionLost
+                || outcome instanceof Outcome.Cancelled)) {
             mail.key.restsUntil = Math.max(mail.key.restsUntil, now + orderSettle);
         }
-        if (done || outcome instanceof Outcome.Relayed) {
+        if (done || outcome instanceof Outcome.Delivered) {
             finish(mail);
         } else if (!mail.over && mail.out == 0) {
             again(mail, outcome, now);
@@ -568,8 +568,8 @@
             c.endpoint.to.out--;
             slotsOut--;
             c.endpoint.route.calls.remove(c.call);
-            if (outcome instanceof Outcome.Relayed || outcome instanceof Outcome.Erred
-                    || outcome instanceof Outcome.Full) {
+            if (outcome instanceof Outcome.Delivered || outcome instanceof Outcome.ServerError
+                    || outcome instanceof Outcome.Rejected) {
                 keepOrRelease(c.endpoint, now);
             }
         }
@@ -672,19 +672,19 @@
             return;
         }
         c.call.counted = true;
-        boolean atCap = outcome instanceof Outcome.Unreached && !c.trial && now - r.relayedAt < target;
-        boolean first = outcome instanceof Outcome.Unreached && r.unreachedAt <= r.relayedAt;
+        boolean atCap = outcome instanceof Outcome.ConnectFailed && !c.trial && now - r.relayedAt < target;
+        boolean first = outcome instanceof Outcome.ConnectFailed && r.unreachedAt <= r.relayedAt;
         r.unreachedAt = first ? now : r.unreachedAt;
         r.downSince = r.downSince <= r.relayedAt ? now : r.downSince;
-        if (outcome instanceof Outcome.Relayed) {
+        if (outcome instanceof Outcome.Delivered) {
             relayed(r, c, now);
-        } else if (outcome instanceof Outcome.Full full) {
+        } else if (outcome instanceof Outcome.Rejected full) {
             deferred(r, full.pause(), now);
         } else if (atCap && roomy[r.kind] < proof) {
             c.endpoint.cap = Math.max(1, c.endpoint.out);
             c.endpoint.capAt = now;
             pause(r, 0, false, now);
-        } else if (!(outcome instanceof Outcome.NotSent || outcome instanceof Outcome.Broken && c.kept)) {
+        } else if (!(outcome instanceof Outcome.NotSent || outcome instanceof Outcome.ConnectionLost && c.kept)) {
             // A kept connection that breaks tells of itself; a new one would tell of the receiver.
             failed(r, c, outcome, now);
         }
@@ -760,7 +760,7 @@
 
     private void failed(Route r, Connect c, Outcome outcome, long now) {
         r.failed.add(now);
-        if (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.CalledOff) {
+        if (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.Cancelled) {
             r.timedOut.add(now);
         }
         c.endpoint.failedRun++;
@@ -881,7 +881,7 @@
         }
         // Guards a down receiver against quick tries of many nodes, each too few to open a breaker: a failed
         // mail goes again by the node's part. Harm: one that met a stray failure waits where nodes are many.
-        if (outcome instanceof Outcome.Unreached || !outcome.neverRan()) {
+        if (outcome instanceof Outcome.ConnectFailed || !outcome.neverRan()) {
             m.notBefore = now + (long) (rates.interval(lastAt(m).route, now) * chance(m.id));
         }
         int at = m.to.line.size();
--- a/decisions/src/main/java/wrenreach/api/Outcome.java
+++ b/decisions/src/main/java/wrenreach/api/Outcome.java
@@ -8,13 +8,13 @@
     }
 
     /** The mail was delivered. */
-    record Relayed() implements Outcome { }
+    record Delivered() implements Outcome { }
 
     /** The destination answered with an error. */
-    record Erred() implements Outcome { }
+    record ServerError() implements Outcome { }
 
     /** Turned away unseen; pause is 0 where no wait was told. */
-    record Full(long pause) implements Outcome {
+    record Rejected(long pause) implements Outcome {
         @Override public boolean neverRan() {
             return true;
         }
@@ -24,17 +24,17 @@
     record TimedOut() implements Outcome { }
 
     /** No connection could be had. */
-    record Unreached() implements Outcome {
+    record ConnectFailed() implements Outcome {
         @Override public boolean neverRan() {
             return true;
         }
     }
 
     /** The connection broke under way. */
-    record Broken() implements Outcome { }
+    record ConnectionLost() implements Outcome { }
 
     /** Revoked by the node. */
-    record CalledOff() implements Outcome { }
+    record Cancelled() implements Outcome { }
 
     /** This machine could not make the attempt: that says nothing of the endpoint, and the attempt does not count. */
     record LocalFault() implements Outcome {
--- a/decisions/src/test/java/wrenreach/ChoiceTest.java
+++ b/decisions/src/test/java/wrenreach/ChoiceTest.java
@@ -45,7 +45,7 @@
         s.nodes = 100;
         s.endpoint(1, 0);
         if (told) {
-            s.end(s.send(), new Outcome.Full(60_000 * Setup.MS));
+            s.end(s.send(), new Outcome.Rejected(60_000 * Setup.MS));
             s.answers.clear();
         }
         for (int i = 0; i < 30; i++) { // Some ten go by pace in that time.
@@ -59,7 +59,7 @@
             out.addLast(s.turn(10));
             out.getLast().forEach(c -> sent.add(c.mail));
             if (out.size() > 10) { // Each takes a tenth of a second.
-                out.removeFirst().forEach(c -> s.end(c, new Outcome.Relayed()));
+                out.removeFirst().forEach(c -> s.end(c, new Outcome.Delivered()));
             }
         }
         assertThat(sent.stream().filter(m -> m.owed)).hasSize(calls);
@@ -90,7 +90,7 @@
 
     @Test void aRunOfFailuresOpensAndParks() {
         s.endpoint(1, 0);
-        s.fail(12, new Outcome.Unreached());
+        s.fail(12, new Outcome.ConnectFailed());
         assertThat(breaker().phase).isNotEqualTo(Breaker.Phase.CLOSED);
         breaker().restsUntil = s.now + 5000 * Setup.MS;
         s.mail(null);
@@ -100,14 +100,14 @@
 
     @Test void aRelayedMailClearsTheRun() {
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.Erred());
-        s.end(s.send(), new Outcome.Relayed());
+        s.end(s.send(), new Outcome.ServerError());
+        s.end(s.send(), new Outcome.Delivered());
         assertThat(breaker().failedRun).isZero();
     }
 
     @Test void fullIsNeutral() {
         s.endpoint(1, 0);
-        s.fail(20, new Outcome.Full(0));
+        s.fail(20, new Outcome.Rejected(0));
         assertThat(breaker().failedRun).isZero();
         assertThat(breaker().phase).isEqualTo(Breaker.Phase.CLOSED);
     }
@@ -116,11 +116,11 @@
         opened();
         Connect first = s.turn(6000).get(0);
         assertThat(s.turn(500)).isEmpty();
-        s.end(first, new Outcome.Relayed());
+        s.end(first, new Outcome.Delivered());
         assertThat(breaker().phase).isEqualTo(Breaker.Phase.HALF_OPEN);
         List<Connect> second = s.turn(6000);
         assertThat(second).hasSize(1);
-        s.end(second.get(0), new Outcome.Relayed());
+        s.end(second.get(0), new Outcome.Delivered());
         assertThat(breaker().phase).isEqualTo(Breaker.Phase.CLOSED);
         assertThat(s.ever(Answer.Note.class)).anyMatch(n -> n.text().contains("closed"));
     }
@@ -150,9 +150,9 @@
                 s.to.routes.get(0).relayed.add(s.now);
                 breaker().failedRun = 0;
             }
-            s.fail(1, new Outcome.Unreached());
+            s.fail(1, new Outcome.ConnectFailed());
         }
-        assertThat(s.ever(Answer.Note.class)).anyMatch(n -> n.text().contains("opened by Unreached"));
+        assertThat(s.ever(Answer.Note.class)).anyMatch(n -> n.text().contains("opened by ConnectFailed"));
     }
 
     @Test void routesApartHaveBreakersOfTheirOwn() {
@@ -246,8 +246,8 @@
         s.batch = 5;
         Connect a = s.send();
         Connect b = s.send();
-        s.end(a, new Outcome.Full(900 * Setup.MS));
-        s.end(b, new Outcome.Full(300 * Setup.MS));
+        s.end(a, new Outcome.Rejected(900 * Setup.MS));
+        s.end(b, new Outcome.Rejected(300 * Setup.MS));
         assertThat(s.turn(900)).isEmpty();
         assertThat(s.turn(2500)).isNotEmpty();
     }
@@ -259,9 +259,9 @@
         s.mail(null);
         List<Connect> call = s.turn(5);
         assertThat(call.get(0).call).isSameAs(call.get(1).call);
-        s.end(call.get(0), new Outcome.Full(500 * Setup.MS));
+        s.end(call.get(0), new Outcome.Rejected(500 * Setup.MS));
         s.now += 5 * Setup.MS;
-        s.end(call.get(1), new Outcome.Full(500 * Setup.MS));
+        s.end(call.get(1), new Outcome.Rejected(500 * Setup.MS));
         assertThat(s.to.routes.get(0).heldUntil).isGreaterThanOrEqualTo(s.now + 500 * Setup.MS);
     }
 
@@ -297,7 +297,7 @@
         Connect c = s.send();
         assertThat(c.endpoint).isSameAs(near);
         s.list(near, Listing.State.GONE);
-        s.end(c, new Outcome.Broken());
+        s.end(c, new Outcome.ConnectionLost());
         assertThat(s.turn(1000)).isEmpty();
         assertThat(s.ever(Answer.Bounce.class)).as("it may have run and no repeat is allowed").hasSize(1);
     }
@@ -313,7 +313,7 @@
     @Test void onceOnlyMailThatNeverRanGoesAgain() {
         s.effect = Effect.ONCE_ONLY;
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.Unreached());
+        s.end(s.send(), new Outcome.ConnectFailed());
         assertThat(s.turn(4000)).hasSize(1);
     }
 
@@ -338,7 +338,7 @@
         s.endpoint(1, 0);
         Connect c = s.send();
         s.choice().withdrawn(c.mail, s.now);
-        s.end(c, new Outcome.Broken());
+        s.end(c, new Outcome.ConnectionLost());
         assertThat(s.turn(1000)).isEmpty();
         assertThat(s.ever(Answer.Bounce.class)).isEmpty();
         assertThat(s.ever(Answer.Defer.class)).isEmpty();
@@ -347,8 +347,8 @@
     @Test void connectsOfAMailAreLimited() {
         s.tries = 2;
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.Unreached());
-        s.end(s.turn(5000).get(0), new Outcome.Unreached());
+        s.end(s.send(), new Outcome.ConnectFailed());
+        s.end(s.turn(5000).get(0), new Outcome.ConnectFailed());
         assertThat(s.ever(Answer.Defer.class)).hasSize(1);
     }
 
@@ -363,7 +363,7 @@
         for (int i = 0; i < 30; i++) {
             s.mail(null);
             for (Connect c : s.turn(100)) {
-                s.end(c, new Outcome.Relayed());
+                s.end(c, new Outcome.Delivered());
                 sent++;
             }
         }
@@ -374,12 +374,12 @@
     @Test void threeFailuresAndHalfFailingPaceAsCold() {
         s.endpoint(1, 0);
         for (int i = 0; i < 2; i++) {
-            s.end(s.send(), new Outcome.Erred());
-            s.end(s.send(), new Outcome.Relayed());
+            s.end(s.send(), new Outcome.ServerError());
+            s.end(s.send(), new Outcome.Delivered());
             s.to.line.clear();
         }
         assertThat(s.to.routes.get(0).cold).isFalse();
-        s.end(s.send(), new Outcome.Erred());
+        s.end(s.send(), new Outcome.ServerError());
         assertThat(s.to.routes.get(0).cold).isTrue();
     }
 
@@ -387,9 +387,9 @@
         s.endpoint(1, 0);
         s.to.routes.get(0).relayedAt = s.now;
         s.to.routes.get(0).deferredRun = 9;
-        s.end(s.send(), new Outcome.Full(0));
+        s.end(s.send(), new Outcome.Rejected(0));
         assertThat(s.to.routes.get(0).cold).isFalse();
-        s.end(s.turn(6000).get(0), new Outcome.Full(0));
+        s.end(s.turn(6000).get(0), new Outcome.Rejected(0));
         assertThat(s.to.routes.get(0).cold).isTrue();
     }
 
@@ -397,7 +397,7 @@
         s.weight = 10;
         s.endpoint(1, 0);
         Connect c = s.send();
-        s.choice().ended(c, new Outcome.Relayed(), new double[] {0.05, 10}, true, s.now);
+        s.choice().ended(c, new Outcome.Delivered(), new double[] {0.05, 10}, true, s.now);
         int sent = 0;
         for (int i = 0; i < 20; i++) {
             s.mail(null);
@@ -432,16 +432,16 @@
         s.turn(100);
         s.turn(3000);
         assertThat(s.ever(Answer.Revoke.class)).extracting(Answer.Revoke::connect).containsExactly(c);
-        s.end(c, new Outcome.CalledOff());
+        s.end(c, new Outcome.Cancelled());
         assertThat(breaker().failedRun).as("counts as timed out").isEqualTo(1);
     }
 
     @Test void refusalsLowerThePaceAndTimeRaisesIt() {
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.Full(0));
+        s.end(s.send(), new Outcome.Rejected(0));
         double after = s.to.routes.get(0).share;
         assertThat(after).isLessThan(1);
-        s.end(s.turn(5000).get(0), new Outcome.Full(0));
+        s.end(s.turn(5000).get(0), new Outcome.Rejected(0));
         assertThat(s.to.routes.get(0).share).isGreaterThan(after * 0.7);
     }
 
@@ -535,8 +535,8 @@
     @Test void aConnectionIsGivenBackWhereUnreachedConnectsAreSoonRelayed() {
         s.nodes = 200;
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.Unreached());
-        s.end(s.turn(1000).get(0), new Outcome.Relayed());
+        s.end(s.send(), new Outcome.ConnectFailed());
+        s.end(s.turn(1000).get(0), new Outcome.Delivered());
         s.turn(1500);
         assertThat(s.ever(Answer.Release.class)).hasSize(1);
     }
@@ -544,7 +544,7 @@
     @Test void aConnectionIsKeptOnceTheKindProvedRoomy() {
         s.endpoint(1, 0);
         for (int i = 0; i < 3; i++) {
-            s.end(s.send(), new Outcome.Relayed());
+            s.end(s.send(), new Outcome.Delivered());
         }
         int before = s.ever(Answer.Release.class).size();
         s.turn(4000);
@@ -555,8 +555,8 @@
     @Test void unreachedSoonAfterARelayIsACapAndNeutral() {
         s.nodes = 200;
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.Relayed());
-        s.end(s.send(), new Outcome.Unreached());
+        s.end(s.send(), new Outcome.Delivered());
+        s.end(s.send(), new Outcome.ConnectFailed());
         assertThat(breaker().failedRun).isZero();
         assertThat(route().heldUntil).isGreaterThan(s.now);
     }
@@ -565,7 +565,7 @@
         s.nodes = 200;
         s.weight = 4;
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.Relayed());
+        s.end(s.send(), new Outcome.Delivered());
         route().share = 1.0 / 200;
         route().shareAt = s.now;
         s.mail(null);
@@ -575,7 +575,7 @@
     @Test void aSparseNodesPartFallsWhereNoAllowanceIsReported() {
         s.nodes = 200;
         s.endpoint(1, 0);
-        report(s.send(), new Outcome.Relayed(), 0);
+        report(s.send(), new Outcome.Delivered(), 0);
         route().tokens = 0;
         route().tokensAt = s.now;
         s.mail(null);
@@ -588,7 +588,7 @@
         opened();
         route().downSince = s.now - 10_000 * Setup.MS;
         Connect trial = s.turn(6000).get(0);
-        s.end(trial, new Outcome.Unreached());
+        s.end(trial, new Outcome.ConnectFailed());
         assertThat(breaker().restsUntil - s.now).isGreaterThan(20_000 * Setup.MS);
     }
 
@@ -598,7 +598,7 @@
         s.endpoint(1, 0);
         Connect c = s.send();
         route().downSince = s.now - 10_000 * Setup.MS;
-        s.end(c, new Outcome.Full(4000 * Setup.MS));
+        s.end(c, new Outcome.Rejected(4000 * Setup.MS));
         assertThat(route().heldUntil - s.now).isGreaterThan(4100 * Setup.MS);
     }
 
@@ -607,7 +607,7 @@
         s.weight = 4;
         s.endpoint(1, 0);
         Connect c = s.send();
-        s.end(c, new Outcome.Full(500 * Setup.MS));
+        s.end(c, new Outcome.Rejected(500 * Setup.MS));
         assertThat(route().heldUntil - s.now).isGreaterThan(510 * Setup.MS);
     }
 
@@ -616,11 +616,11 @@
         s.endpoint(1, 0);
         s.mail(null);
         for (int i = 0; i < 2; i++) {
-            report(s.turn(8000).get(0), new Outcome.Full(0), 0.5);
+            report(s.turn(8000).get(0), new Outcome.Rejected(0), 0.5);
         }
         assertThat(route().share).isCloseTo(1.0 / 14, within(1e-6));
         s.mail(null);
-        report(s.turn(8000).get(0), new Outcome.Full(0), 0);
+        report(s.turn(8000).get(0), new Outcome.Rejected(0), 0);
         assertThat(route().share).isLessThan(1.0 / 14);
     }
 
@@ -636,7 +636,7 @@
         route().shareAt = s.now;
         s.mail(key);
         s.now += 1250 * Setup.MS;
-        report(c, new Outcome.Relayed(), 1);
+        report(c, new Outcome.Delivered(), 1);
         assertThat(route().share).as("a report speaks for 0.3 of a target delay").isCloseTo(0.091, within(0.001));
     }
 
@@ -645,10 +645,10 @@
         s.endpoint(1, 0);
         route().limit = 40;
         route().limitSeen = true;
-        report(s.send(), new Outcome.Relayed(), 1);
+        report(s.send(), new Outcome.Delivered(), 1);
         assertThat(route().limit).isEqualTo(25);
         route().limit = 5;
-        report(s.send(), new Outcome.Relayed(), 1);
+        report(s.send(), new Outcome.Delivered(), 1);
         assertThat(route().limit).isEqualTo(6);
     }
 
@@ -656,10 +656,10 @@
     @Test void aFullOfALimitThatRelaysSkipsATurnAndNoMore() {
         s.nodes = 14;
         s.endpoint(1, 0);
-        report(s.send(), new Outcome.Relayed(), 1);
+        report(s.send(), new Outcome.Delivered(), 1);
         route().deferredRun = 3;
         s.mail(null);
-        report(s.turn(2000).get(0), new Outcome.Full(0), 0);
+        report(s.turn(2000).get(0), new Outcome.Rejected(0), 0);
         assertThat(route().heldUntil - s.now).isBetween(0L, 2500 * Setup.MS);
     }
 
@@ -677,7 +677,7 @@
         route().left = 0;
         route().leftAt = s.now;
         route().share = 1;
-        s.end(c, new Outcome.Full(0));
+        s.end(c, new Outcome.Rejected(0));
         assertThat(route().share).isLessThan(1.5 / 14);
     }
 
@@ -690,7 +690,7 @@
         for (int fulls = 0; fulls < 5; fulls++) {
             r.heldUntil = 0;
             r.tokens = 2;
-            s.turn(500).forEach(c -> report(c, new Outcome.Full(0), 0));
+            s.turn(500).forEach(c -> report(c, new Outcome.Rejected(0), 0));
             assertThat(r.tokens).as("saved turns are spent").isBetween(0.0, 0.99);
         }
         assertThat(r.share).isBetween(0.5 / 100, 0.1);
@@ -773,7 +773,7 @@
     @Test void aRestDoesNotMakeALineLonger() {
         s.weight = 8;
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.Full(1900 * Setup.MS));
+        s.end(s.send(), new Outcome.Rejected(1900 * Setup.MS));
         s.now += 10 * Setup.MS;
         assertThat(s.mail(null).over).isFalse();
     }
@@ -783,7 +783,7 @@
         s.weight = 4;
         s.endpoint(1, 0);
         Connect c = s.send();
-        s.end(c, new Outcome.Unreached());
+        s.end(c, new Outcome.ConnectFailed());
         assertThat(s.turn(5)).isEmpty();
         assertThat(c.mail.notBefore).isGreaterThan(s.now - 5 * Setup.MS);
     }
@@ -793,14 +793,14 @@
         s.nodes = 200;
         s.weight = 4;
         s.endpoint(1, 0);
-        s.end(s.send(), new Outcome.Unreached());
+        s.end(s.send(), new Outcome.ConnectFailed());
         assertThat(route().cold).as("after one").isFalse();
         Connect again = s.turn(2500).get(0);
-        s.end(again, new Outcome.Relayed());
+        s.end(again, new Outcome.Delivered());
         s.now += 5000 * Setup.MS;
-        s.end(s.send(), new Outcome.Unreached());
+        s.end(s.send(), new Outcome.ConnectFailed());
         assertThat(route().cold).as("after two with a relay between").isFalse();
-        s.end(s.turn(2500).get(0), new Outcome.Unreached());
+        s.end(s.turn(2500).get(0), new Outcome.ConnectFailed());
         assertThat(route().cold).as("after two in a row").isTrue();
     }
 
@@ -809,7 +809,7 @@
         s.endpoint(1, 0);
         s.endpoint(2, 0);
         Connect c = s.send();
-        s.end(c, new Outcome.Unreached());
+        s.end(c, new Outcome.ConnectFailed());
         assertThat(c.endpoint.route.cold).isTrue();
     }
 
@@ -818,7 +818,7 @@
         Connect c = s.send();
         double usual = route().usual;
         s.now += 2000 * Setup.MS;
-        s.end(c, new Outcome.Relayed());
+        s.end(c, new Outcome.Delivered());
         assertThat(route().usual).isEqualTo(usual);
     }
 
@@ -836,7 +836,7 @@
     @Test void anIdleNodeIsNotWoken() {
         s.endpoint(1, 0);
         for (int i = 0; i < 3; i++) {
-            s.end(s.send(), new Outcome.Relayed());
+            s.end(s.send(), new Outcome.Delivered());
         }
         s.turn(5000);
         int wakes = s.ever(Answer.Wake.class).size();
@@ -869,7 +869,7 @@
             one.mail(null);
             for (Connect c : one.turn(500)) {
                 c.kept = true;
-                one.end(c, new Outcome.Broken());
+                one.end(c, new Outcome.ConnectionLost());
                 broken++;
             }
             assertThat(at.route.heldUntil).isLessThanOrEqualTo(one.now);
@@ -877,7 +877,7 @@
         assertThat(broken).isGreaterThan(8);
         assertThat(at.route.breaker.phase).isEqualTo(Breaker.Phase.CLOSED);
         assertThat(at.route.cold).isFalse();
-        assertThat(one.fail(8, new Outcome.Broken())).isPositive();
+        assertThat(one.fail(8, new Outcome.ConnectionLost())).isPositive();
         assertThat(at.route.breaker.phase).isNotEqualTo(Breaker.Phase.CLOSED);
     }
 
--- a/decisions/src/test/java/wrenreach/ColdFleetTest.java
+++ b/decisions/src/test/java/wrenreach/ColdFleetTest.java
@@ -182,7 +182,7 @@
                 came(knows);
                 at(now + (lost ? 2 * MS : SERVICE), () -> {
                     if (mine == life) {
-                        answer(choice.ended(connect, lost ? new Outcome.Unreached() : new Outcome.Relayed(), new double[0], !lost, now));
+                        answer(choice.ended(connect, lost ? new Outcome.ConnectFailed() : new Outcome.Delivered(), new double[0], !lost, now));
                         answer(choice.next(now));
                     }
                 });
--- a/decisions/src/test/java/wrenreach/LocalFaultTest.java
+++ b/decisions/src/test/java/wrenreach/LocalFaultTest.java
@@ -35,7 +35,7 @@
 
     @Test void aTrialThatCouldNotBeMadeIsNoVerdict() {
         var endpoint = s.endpoint(1, 0);
-        s.fail(12, new Outcome.Unreached());
+        s.fail(12, new Outcome.ConnectFailed());
         assertThat(endpoint.route.breaker.phase).isNotEqualTo(Breaker.Phase.CLOSED);
         endpoint.route.breaker.phase = Breaker.Phase.OPEN;
         endpoint.route.breaker.restsUntil = s.now;
--- a/decisions/src/test/java/wrenreach/Setup.java
+++ b/decisions/src/test/java/wrenreach/Setup.java
@@ -93,7 +93,7 @@
     }
 
     void end(Connect c, Outcome outcome) {
-        answers.addAll(choice().ended(c, outcome, new double[0], outcome instanceof Outcome.Relayed, now));
+        answers.addAll(choice().ended(c, outcome, new double[0], outcome instanceof Outcome.Delivered, now));
     }
 
     /** Hands in and fails so many mails, one a turn, while any is sent. */
--- a/lab/src/main/java/wrenreach/lab/Baseline.java
+++ b/lab/src/main/java/wrenreach/lab/Baseline.java
@@ -98,8 +98,8 @@
         Breaker breaker = connect.endpoint.route.breaker;
         boolean trial = breaker.trial == connect;
         breaker.trial = trial ? null : breaker.trial;
-        boolean ok = outcome instanceof Outcome.Relayed;
-        if (breakerRest == 0 || outcome instanceof Outcome.Full || outcome instanceof Outcome.CalledOff
+        boolean ok = outcome instanceof Outcome.Delivered;
+        if (breakerRest == 0 || outcome instanceof Outcome.Rejected || outcome instanceof Outcome.Cancelled
                 || outcome instanceof Outcome.NotSent || outcome instanceof Outcome.LocalFault) {
             return;
         }
--- a/lab/src/test/java/wrenreach/lab/LabTest.java
+++ b/lab/src/test/java/wrenreach/lab/LabTest.java
@@ -87,12 +87,12 @@
 
                 @Override public List<Answer> ended(Connect connect, Outcome outcome, double[] report, boolean done, long now) {
                     Outcome told = outcome;
-                    if (outcome instanceof Outcome.Full full && Wrong.this == DEAF_TO_WAITS) {
-                        told = new Outcome.Full(0);
-                    } else if (outcome instanceof Outcome.Full full && Wrong.this == HALVES_WAITS) {
-                        told = new Outcome.Full(full.pause() / 3);
+                    if (outcome instanceof Outcome.Rejected full && Wrong.this == DEAF_TO_WAITS) {
+                        told = new Outcome.Rejected(0);
+                    } else if (outcome instanceof Outcome.Rejected full && Wrong.this == HALVES_WAITS) {
+                        told = new Outcome.Rejected(full.pause() / 3);
                     } else if (Wrong.this == FORGETS_THAT_IT_RAN
-                            && (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.Erred)) {
+                            && (outcome instanceof Outcome.TimedOut || outcome instanceof Outcome.ServerError)) {
                         told = new Outcome.NotSent(false);
                         connect.neverRan = true;
                     }
--- a/node/src/main/java/wrenreach/net/CallCodec.java
+++ b/node/src/main/java/wrenreach/net/CallCodec.java
@@ -39,16 +39,16 @@
     CallAnswer answer(HttpResponse response) {
         double[] report = report(response.headers().get("X-Load-Report"));
         return switch (response.status().code()) {
-            case 200 -> new CallAnswer(new Outcome.Relayed(), report, true, true);
+            case 200 -> new CallAnswer(new Outcome.Delivered(), report, true, true);
             case 410 -> new CallAnswer(new Outcome.NotSent(false), report, true, true);
-            case 429 -> new CallAnswer(new Outcome.Full(1000 * wait(response.headers().get("Wait-Ms"))), report, false,
+            case 429 -> new CallAnswer(new Outcome.Rejected(1000 * wait(response.headers().get("Wait-Ms"))), report, false,
                     true);
-            case 500 -> new CallAnswer(new Outcome.Erred(), report, false, true);
+            case 500 -> new CallAnswer(new Outcome.ServerError(), report, false, true);
             case 503 -> new CallAnswer("1".equals(response.headers().get("Slots-Taken")) ? new Outcome.NotSent(true)
-                    : new Outcome.Full(0), report, false, true);
+                    : new Outcome.Rejected(0), report, false, true);
             case 504 -> new CallAnswer(new Outcome.NotSent(false), report, false, true);
             // Guards against what no page names: it may have run.
-            default -> new CallAnswer(new Outcome.Erred(), report, false, false);
+            default -> new CallAnswer(new Outcome.ServerError(), report, false, false);
         };
     }
 
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -156,7 +156,7 @@
             connect.kept = true;
             carry(link, call);
         } else if (pool == null || pool.address == null) {
-            loop.execute(() -> end(call, new Outcome.Unreached()));
+            loop.execute(() -> end(call, new Outcome.ConnectFailed()));
         } else {
             open(pool, call);
         }
@@ -180,7 +180,7 @@
             }
 
             @Override public void failed(boolean ofThisMachine) {
-                end(call, ofThisMachine ? new Outcome.LocalFault() : new Outcome.Unreached());
+                end(call, ofThisMachine ? new Outcome.LocalFault() : new Outcome.ConnectFailed());
             }
         });
     }
@@ -264,15 +264,15 @@
 
     private void unwritten(Link link, Outgoing call) {
         link.close();
-        end(call, new Outcome.Unreached());
+        end(call, new Outcome.ConnectFailed());
     }
 
     private void cut(Outgoing call) {
         boolean written = call.link != null && call.link.written;
         boolean waits = staged.contains(call);
         abandon(call);
-        end(call, relayed(call) ? new Outcome.Relayed() : written ? new Outcome.TimedOut()
-                : waits ? new Outcome.NotSent(false) : new Outcome.Unreached());
+        end(call, relayed(call) ? new Outcome.Delivered() : written ? new Outcome.TimedOut()
+                : waits ? new Outcome.NotSent(false) : new Outcome.ConnectFailed());
     }
 
     /** Guards against sending again what was relayed: a first line with 200 is true, whatever follows it. */
@@ -285,8 +285,8 @@
         Outgoing call = out.get(connect);
         if (call != null) {
             abandon(call);
-            loop.execute(() -> end(call, relayed(call) ? new Outcome.Relayed()
-                    : call.link != null && call.link.written ? new Outcome.CalledOff() : new Outcome.NotSent(false)));
+            loop.execute(() -> end(call, relayed(call) ? new Outcome.Delivered()
+                    : call.link != null && call.link.written ? new Outcome.Cancelled() : new Outcome.NotSent(false)));
         }
     }
 
@@ -299,7 +299,7 @@
     }
 
     private void end(Outgoing call, Outcome outcome) {
-        end(call, new CallAnswer(outcome, new double[0], outcome instanceof Outcome.Relayed, true));
+        end(call, new CallAnswer(outcome, new double[0], outcome instanceof Outcome.Delivered, true));
     }
 
     private void end(Outgoing call, CallAnswer answer) {
@@ -315,9 +315,9 @@
         }
         long now = host.turn();
         Outcome outcome = answer.outcome();
-        if (outcome instanceof Outcome.Full full && full.pause() > 0) {
+        if (outcome instanceof Outcome.Rejected full && full.pause() > 0) {
             // Guards the told wait in a long turn, as at a start: it runs from when the answer came, not from the turn.
-            outcome = new Outcome.Full(full.pause() + host.turnAge());
+            outcome = new Outcome.Rejected(full.pause() + host.turnAge());
             toldToWait(call.connect.endpoint.route, now + full.pause() + host.turnAge());
         }
         host.ended(call.held, call.connect, outcome, answer.report(), answer.over());
@@ -414,8 +414,8 @@
 
         private void endBroken() {
             if (call != null) {
-                end(call, relayed(call) ? new Outcome.Relayed() : written ? new Outcome.Broken()
-                        : new Outcome.Unreached());
+                end(call, relayed(call) ? new Outcome.Delivered() : written ? new Outcome.ConnectionLost()
+                        : new Outcome.ConnectFailed());
             }
         }
 
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -654,7 +654,7 @@
             subsystems.happened(new NodeEvent.ConnectEnded(mail.submission.id(), connect.number,
                     name(connect.endpoint), outcome, now));
         }
-        if (!(outcome instanceof Outcome.Relayed)) {
+        if (!(outcome instanceof Outcome.Delivered)) {
             messages.attemptFailed(mail, connect.number, name(connect.endpoint), outcome, now);
         }
         boolean inJournal = mail.connects.stream().anyMatch(past -> past.number() == connect.number);
--- a/node/src/main/java/wrenreach/node/MessageLog.java
+++ b/node/src/main/java/wrenreach/node/MessageLog.java
@@ -80,7 +80,7 @@
     }
 
     private static String name(Outcome outcome) {
-        return outcome instanceof Outcome.Full full && full.pause() > 0 ? "Full, retry after " + full.pause() / 1000 + " ms"
+        return outcome instanceof Outcome.Rejected full && full.pause() > 0 ? "Rejected, retry after " + full.pause() / 1000 + " ms"
                 : outcome.getClass().getSimpleName();
     }
 }
--- a/node/src/test/java/wrenreach/net/CallsTest.java
+++ b/node/src/test/java/wrenreach/net/CallsTest.java
@@ -129,7 +129,7 @@
             for (int i = 0; i < 2; i++) {
                 hear(socket);
                 answer(socket, "HTTP/1.1 200 OK");
-                assertThat(outcome()).isEqualTo(new Outcome.Relayed());
+                assertThat(outcome()).isEqualTo(new Outcome.Delivered());
                 assertThat(send(30 * SECOND).kept).isTrue();
             }
         }
@@ -143,7 +143,7 @@
         try (Socket socket = accept()) {
             hear(socket);
             answer(socket, "HTTP/1.1 200 OK");
-            assertThat(outcome()).isEqualTo(new Outcome.Relayed());
+            assertThat(outcome()).isEqualTo(new Outcome.Delivered());
             holdBack = true;
             Connect second = send(end.equals("cut") ? SECOND / 10 : 30 * SECOND);
             assertThat(second.kept).isTrue();
@@ -181,7 +181,7 @@
             assertThat(stands.await(20, TimeUnit.SECONDS)).isTrue();
             answer(socket, "HTTP/1.1 200 OK");
             answered.countDown();
-            assertThat(outcome()).isEqualTo(new Outcome.Relayed());
+            assertThat(outcome()).isEqualTo(new Outcome.Delivered());
         }
     }
 
@@ -190,13 +190,13 @@
         Socket socket = accept();
         hear(socket);
         socket.close();
-        assertThat(outcome()).isEqualTo(new Outcome.Broken());
+        assertThat(outcome()).isEqualTo(new Outcome.ConnectionLost());
     }
 
     @Test void whatCantConnectNeverRan() throws Exception {
         receiver.close();
         send(30 * SECOND);
-        assertThat(outcome()).isEqualTo(new Outcome.Unreached());
+        assertThat(outcome()).isEqualTo(new Outcome.ConnectFailed());
     }
 
     /** Guards drains: a call decided before its endpoint drained is not written after. */
@@ -240,7 +240,7 @@
             send(30 * SECOND);
             try (Socket second = accept()) {
                 answer(first, "HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 15000");
-                assertThat(outcome()).isEqualTo(new Outcome.Full(15 * SECOND));
+                assertThat(outcome()).isEqualTo(new Outcome.Rejected(15 * SECOND));
                 holdBack = false;
                 while (ended.isEmpty()) {
                     endTurn();
@@ -253,17 +253,17 @@
 
     /** Guards mails that were relayed: a first line with 200 holds whatever follows. All else counts only whole. */
     @ParameterizedTest
-    @CsvSource({"'200 OK\r\nContent-Length: x', Relayed", "'200 OK\r\nContent-Length: 3\r\n\r\n', Relayed",
-        "'200 OK\r\nContent-Length: 3000000000\r\n\r\nxx', Relayed", "'200 OK\r\n: : :\r\n\r\n', Relayed",
-        "'200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', Relayed", "'200 OK', Broken",
-        "'429 No\r\nContent-Length: 3\r\n\r\n', Broken", "'410 No\r\nContent-Length: -1\r\n\r\n', Broken",
-        "'503 No\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', Broken", "'2x0 OK\r\n\r\n', Broken"})
+    @CsvSource({"'200 OK\r\nContent-Length: x', Delivered", "'200 OK\r\nContent-Length: 3\r\n\r\n', Delivered",
+        "'200 OK\r\nContent-Length: 3000000000\r\n\r\nxx', Delivered", "'200 OK\r\n: : :\r\n\r\n', Delivered",
+        "'200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', Delivered", "'200 OK', ConnectionLost",
+        "'429 No\r\nContent-Length: 3\r\n\r\n', ConnectionLost", "'410 No\r\nContent-Length: -1\r\n\r\n', ConnectionLost",
+        "'503 No\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', ConnectionLost", "'2x0 OK\r\n\r\n', ConnectionLost"})
     void aSpoiltAnswerMayHaveRunButAFirstLineWith200IsTrue(String text, String outcome) throws Exception {
         send(30 * SECOND);
         try (Socket socket = accept()) {
             hear(socket);
             write(socket, "HTTP/1.1 " + text);
-            if (outcome.equals("Broken")) {
+            if (outcome.equals("ConnectionLost")) {
                 socket.shutdownOutput();
             }
             assertThat(outcome()).extracting(o -> o.getClass().getSimpleName()).isEqualTo(outcome);
@@ -279,13 +279,13 @@
         try (Socket socket = accept()) {
             hear(socket);
             write(socket, "HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno" + more);
-            assertThat(outcome()).isEqualTo(new Outcome.Full(0));
+            assertThat(outcome()).isEqualTo(new Outcome.Rejected(0));
             assertThat(socket.getInputStream().read()).isEqualTo(-1);
             send(30 * SECOND);
             try (Socket fresh = accept()) {
                 hear(fresh);
                 answer(fresh, "HTTP/1.1 200 OK");
-                assertThat(outcome()).isEqualTo(new Outcome.Relayed());
+                assertThat(outcome()).isEqualTo(new Outcome.Delivered());
             }
         }
     }
@@ -298,7 +298,7 @@
                     + "HTTP/1.1 429 Full\r\nWait-Ms: 40\r\nContent-Length: 1\r\n\r\nx").getBytes()) {
                 socket.getOutputStream().write(b);
             }
-            assertThat(outcome()).isEqualTo(new Outcome.Full(40_000));
+            assertThat(outcome()).isEqualTo(new Outcome.Rejected(40_000));
         }
     }
 
@@ -309,7 +309,7 @@
             hear(socket);
             age = 70_000;
             answer(socket, "HTTP/1.1 429 Full\r\nWait-Ms: 40");
-            assertThat(outcome()).isEqualTo(new Outcome.Full(110_000));
+            assertThat(outcome()).isEqualTo(new Outcome.Rejected(110_000));
         }
     }
 
@@ -322,7 +322,7 @@
                 hear(old);
                 loop.submit(() -> calls.locate(endpoint, (InetSocketAddress) elsewhere.getLocalSocketAddress())).get();
                 answer(old, "HTTP/1.1 200 OK");
-                assertThat(outcome()).isEqualTo(new Outcome.Relayed());
+                assertThat(outcome()).isEqualTo(new Outcome.Delivered());
                 assertThat(old.getInputStream().read()).isEqualTo(-1);
                 send(30 * SECOND);
                 try (Socket moved = elsewhere.accept()) {
@@ -382,7 +382,7 @@
                     narrow.revoke(connect);
                     return ended.size();
                 }).get()).as("ends reported before revoke has returned").isZero();
-                assertThat(outcome()).isEqualTo(new Outcome.Unreached());
+                assertThat(outcome()).isEqualTo(new Outcome.ConnectFailed());
             }
         }
     }
@@ -392,7 +392,7 @@
         try (Socket socket = accept()) {
             hear(socket);
             loop.submit(() -> calls.revoke(connect)).get();
-            assertThat(outcome()).isEqualTo(new Outcome.CalledOff());
+            assertThat(outcome()).isEqualTo(new Outcome.Cancelled());
             assertThat(socket.getInputStream().read()).isEqualTo(-1);
         }
     }
--- a/node/src/test/java/wrenreach/net/CodecTest.java
+++ b/node/src/test/java/wrenreach/net/CodecTest.java
@@ -151,13 +151,13 @@
     }
 
     @Test void answersHaveTheOutcomesOfTheProtocol() {
-        assertThat(answer(200).outcome()).isEqualTo(new Outcome.Relayed());
+        assertThat(answer(200).outcome()).isEqualTo(new Outcome.Delivered());
         assertThat(answer(200).over()).isTrue();
-        assertThat(answer(500).outcome()).isEqualTo(new Outcome.Erred());
-        assertThat(answer(429, "Wait-Ms", "350").outcome()).isEqualTo(new Outcome.Full(350_000));
-        assertThat(answer(429).outcome()).isEqualTo(new Outcome.Full(0));
-        assertThat(answer(429, "Wait-Ms", "soon").outcome()).isEqualTo(new Outcome.Full(0));
-        assertThat(answer(503).outcome()).isEqualTo(new Outcome.Full(0));
+        assertThat(answer(500).outcome()).isEqualTo(new Outcome.ServerError());
+        assertThat(answer(429, "Wait-Ms", "350").outcome()).isEqualTo(new Outcome.Rejected(350_000));
+        assertThat(answer(429).outcome()).isEqualTo(new Outcome.Rejected(0));
+        assertThat(answer(429, "Wait-Ms", "soon").outcome()).isEqualTo(new Outcome.Rejected(0));
+        assertThat(answer(503).outcome()).isEqualTo(new Outcome.Rejected(0));
         assertThat(answer(503, "Slots-Taken", "1").outcome()).isEqualTo(new Outcome.NotSent(true));
         assertThat(answer(504).outcome()).isEqualTo(new Outcome.NotSent(false));
         assertThat(answer(504).over()).isFalse();
--- a/node/src/test/java/wrenreach/node/EndpointsInUseTest.java
+++ b/node/src/test/java/wrenreach/node/EndpointsInUseTest.java
@@ -117,7 +117,7 @@
             Mail mail = mail(i);
             List<Connect> sent = turn(1000);
             assertThat(sent).extracting(c -> c.endpoint.to.number).containsExactly(i);
-            answers.addAll(module.ended(sent.get(0), new Outcome.Relayed(), new double[0], true, now));
+            answers.addAll(module.ended(sent.get(0), new Outcome.Delivered(), new double[0], true, now));
             assertThat(mail.over).isTrue();
             turn(10_000_000);
             assertThat(inUse.size()).isLessThanOrEqualTo(MOST + 1);
@@ -135,7 +135,7 @@
         directory.destination(100).routes.get(0).heldUntil = now + 5_000_000;
         Mail parked = mail(100);
         mail(200);
-        turn(0).forEach(c -> answers.addAll(module.ended(c, new Outcome.Unreached(), new double[0], false, now)));
+        turn(0).forEach(c -> answers.addAll(module.ended(c, new Outcome.ConnectFailed(), new double[0], false, now)));
         directory.destination(200).line.clear();
         directory.destination(200).routes.get(0).cold = true;
         directory.destination(200).routes.get(0).heldUntil = now;
--- a/wire/src/main/java/wrenreach/wirehost/Node.java
+++ b/wire/src/main/java/wrenreach/wirehost/Node.java
@@ -118,13 +118,13 @@
 
     private static Outcome outcome(Event.Response response) {
         return switch (response.result()) {
-            case 0 -> new Outcome.Relayed();
-            case 1 -> new Outcome.Erred();
-            case 2 -> new Outcome.Full(response.detail() * 1000);
+            case 0 -> new Outcome.Delivered();
+            case 1 -> new Outcome.ServerError();
+            case 2 -> new Outcome.Rejected(response.detail() * 1000);
             case 3 -> new Outcome.TimedOut();
-            case 4 -> new Outcome.Unreached();
-            case 5 -> new Outcome.Broken();
-            case 6 -> new Outcome.CalledOff();
+            case 4 -> new Outcome.ConnectFailed();
+            case 5 -> new Outcome.ConnectionLost();
+            case 6 -> new Outcome.Cancelled();
             default -> new Outcome.NotSent(response.detail() == 1);
         };
     }
