--- a/app/src/test/java/wrenreach/app/FailingNode.java
+++ b/app/src/test/java/wrenreach/app/FailingNode.java
@@ -56,6 +56,8 @@
                         }
                     }
                 }
+                // Never come to: memory ends before.
+                // fall through
             case STACK:
                 return fail(kind, held) + 1;
             case DEFECT:
--- a/bench/src/test/java/wrenreach/bench/capacity/CapacityTest.java
+++ b/bench/src/test/java/wrenreach/bench/capacity/CapacityTest.java
@@ -95,7 +95,8 @@
         Capacity.measure(new SizeFile(small), csv, List.of("now=."));
         List<Measurement> all = Measurement.read(csv);
         assertThat(all).extracting(Measurement::slope).contains("config.start", "config.live", "config.idle", "list.inforce",
-                "list.longest", "change.inforce", "traffic.one.169", "traffic.two.338", "traffic.down.live", "nodes.change", "nodes.burst", "restart.start", "held.disk", "held.start", "down.calls", "back.most");
+                "list.longest", "change.inforce", "traffic.one.169", "traffic.two.338", "traffic.down.live",
+                "nodes.change", "nodes.burst", "restart.start", "held.disk", "held.start", "down.calls", "back.most");
         assertThat(all).allMatch(m -> !Double.isNaN(m.value()), "is had");
     }
 
--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -38,7 +38,8 @@
 
 /**
  * What is owed, in a store: a key for each mail (t), for each of its connects (c) and what became of it (n), for its ending
- * (e), for the id of one that has ended (r), and for each hole that has been dealt with (h), and the clock that all times are by (b). A turn's records are one batch. Where the disk takes no more, ballast is let go:
+ * (e), for the id of one that has ended (r), for each hole that has been dealt with (h), and for the clock that all times are by
+ * (b). An iteration's records are one batch. Where the disk takes no more, ballast is let go:
  * what is owed goes on in its room, and new mails are refused until it is back.
  */
 public final class StoreLedger implements Ledger {
--- a/store/src/test/java/wrenreach/store/StoreTest.java
+++ b/store/src/test/java/wrenreach/store/StoreTest.java
@@ -194,7 +194,8 @@
                 Map<String, String> found = content(store);
                 List<Map<String, String>> allowed = states.subList((int) Math.min(promised[0], states.size() - 1), states.size());
                 assertThat(allowed.contains(found)).as("lost at " + lostAt + ", found " + store.stats() + " " + store.recovered()
-                        + ", promised " + promised[0] + " of " + states.size() + ", is state " + states.indexOf(found) + ", files " + disk.files.keySet() + ", left " + left.files.keySet()).isTrue();
+                        + ", promised " + promised[0] + " of " + states.size() + ", is state " + states.indexOf(found)
+                        + ", files " + disk.files.keySet() + ", left " + left.files.keySet()).isTrue();
             }
         }
     }
