--- a/app/src/test/java/wrenreach/app/SystemCallFaultsTest.java
+++ b/app/src/test/java/wrenreach/app/SystemCallFaultsTest.java
@@ -57,6 +57,7 @@
         "FOLDER; folder_fails 0 1 5 at 1500 for 2000",
         "FOLDER; folder_fails 0 0.3 at 500 for 5000",
         "FOLDER; folder_fails 0 1 5 at 1500 for 2500, kill 0 at 2000 for 300",
+        "FOLDER; kill_in_write 0 at 1500 for 300, kill_in_write 0 at 3500 for 300, folder_fails 0 0.2 at 5000 for 500",
         "SOCKET; socket_fails 0 0.3 at 500 for 5000, kill 0 at 1500 for 300, stop 0 at 3000 for 300"})
     void theRulesHold(String call, String faults) throws Exception {
         LabRun run = play(40, faults.split(", "));
--- a/lab/src/main/java/wrenreach/lab/FleetNode.java
+++ b/lab/src/main/java/wrenreach/lab/FleetNode.java
@@ -62,6 +62,11 @@
         throw new UnsupportedOperationException(call + " fails by processes only");
     }
 
+    /** The process is killed in the middle of its next write to the state folder, and starts again so long after. */
+    void killInWrite(long startsAfter) {
+        throw new UnsupportedOperationException("system calls fail by processes only");
+    }
+
     /** The wall clock of its machine is stepped by so many nanoseconds. */
     void stepWall(long nanos) {
         throw new UnsupportedOperationException("the wall clock is stepped by processes only");
--- a/lab/src/main/java/wrenreach/lab/Play.java
+++ b/lab/src/main/java/wrenreach/lab/Play.java
@@ -332,6 +332,7 @@
                 trouble(List.of(new FaultText.OneWay(node.name, other), new FaultText.OneWay(other, node.name)),
                         new Trouble(Trouble.Kind.CUT, 0, 0), length);
             }
+            case KILL_IN_WRITE -> node.killInWrite(length);
             case WALL_AHEAD, WALL_BEHIND -> {
                 long step = (long) ((fault.kind() == Scenario.Kind.WALL_AHEAD ? 1e9 : -1e9) * fault.figure());
                 node.stepWall(step);
--- a/lab/src/main/java/wrenreach/lab/ProcessNode.java
+++ b/lab/src/main/java/wrenreach/lab/ProcessNode.java
@@ -70,6 +70,7 @@
     private boolean over;
     /** The process has been ended or told to end, or can't start. */
     private boolean ending;
+    private boolean killsInWrite;
     private boolean isolated;
     private long restartAfter;
 
@@ -207,6 +208,10 @@
             return;
         }
         serves = false;
+        if (killsInWrite) {
+            killsInWrite = false;
+            systemCalls.fail(SystemCallFaults.Call.FOLDER, 0, SystemCallFaults.DRAWN);
+        }
         run.relays.listens(name, false);
         world.record(new Fact.Died(world.now(), name, !ending));
         if (restartAfter > 0) {
@@ -294,6 +299,15 @@
         }
     }
 
+    @Override void killInWrite(long startsAfter) {
+        if (up()) {
+            restartAfter = startsAfter;
+            ending = true;
+            killsInWrite = true;
+            systemCalls.fail(SystemCallFaults.Call.FOLDER, 1, SystemCallFaults.KILLED_IN_WRITE);
+        }
+    }
+
     @Override void stepWall(long nanos) {
         systemCalls.stepWall(nanos);
     }
--- a/lab/src/main/java/wrenreach/lab/Scenario.java
+++ b/lab/src/main/java/wrenreach/lab/Scenario.java
@@ -78,7 +78,9 @@
         TRANSFER_FAILS(Of.NODE, Where.PROCESSES), SHORT_TRANSFERS(Of.NODE, Where.PROCESSES),
         WAITS_INTERRUPTED(Of.NODE, Where.PROCESSES), FOLDER_FAILS(Of.NODE, Where.PROCESSES),
         /** The wall clock of the node's machine is stepped, by so many seconds, and back again when the fault is over. */
-        WALL_AHEAD(Of.NODE, Where.PROCESSES), WALL_BEHIND(Of.NODE, Where.PROCESSES);
+        WALL_AHEAD(Of.NODE, Where.PROCESSES), WALL_BEHIND(Of.NODE, Where.PROCESSES),
+        /** The process is killed in the middle of its next write to the state folder. */
+        KILL_IN_WRITE(Of.NODE, Where.PROCESSES);
 
         final Of of;
         final Where where;
--- a/lab/src/main/java/wrenreach/lab/SoakDay.java
+++ b/lab/src/main/java/wrenreach/lab/SoakDay.java
@@ -69,8 +69,9 @@
 
     private void process(int at) {
         int node = random.nextInt(nodes);
-        switch (random.nextInt(8)) {
+        switch (random.nextInt(9)) {
             case 0 -> add(Scenario.Kind.KILL, node, at, 300);
+            case 8 -> add(Scenario.Kind.KILL_IN_WRITE, node, at, 300);
             case 1 -> add(Scenario.Kind.STOP, node, at, 300);
             case 2 -> {
                 add(Scenario.Kind.RELOAD, node, at, 1500);
--- a/lab/src/main/resources/wrenreach/lab/system_call_faults.c
+++ b/lab/src/main/resources/wrenreach/lab/system_call_faults.c
@@ -85,8 +85,12 @@
     return z ^ (z >> 31);
 }
 
+static int kills_in_write(void) {
+    return control && atomic_load(&control->faults[FOLDER].error) == KILL_IN_WRITE;
+}
+
 static int strikes(enum call call) {
-    if (!control) {
+    if (!control || (call == FOLDER && kills_in_write())) {
         return 0;
     }
     uint32_t rate = atomic_load(&control->faults[call].per_million);
@@ -202,9 +206,11 @@
 
 ssize_t write(int file, const void *bytes, size_t length) {
     REAL(ssize_t, "write", int, const void *, size_t);
+    if (kills_in_write() && active(FOLDER) && of_folder(file)) {
+        return torn(file, bytes, length);
+    }
     if (folder_fails(file)) {
-        return atomic_load(&control->faults[FOLDER].error) == KILL_IN_WRITE
-                ? torn(file, bytes, length) : -1;
+        return -1;
     }
     if (of_folder(file)) {
         length = shortened(length);
