--- a/node/src/main/java/wrenreach/held/HeldMail.java
+++ b/node/src/main/java/wrenreach/held/HeldMail.java
@@ -6,7 +6,7 @@
 import java.util.Locale;
 import wrenreach.state.Mail;
 
-/** A mail that the node holds, from the door to its end; times in wall microseconds. */
+/** A mail that the node holds, from the door to its end; times by the clock of the records, see {@link TimeBase}. */
 public final class HeldMail {
     public final Submission submission;
     public final long endsBy;
@@ -20,6 +20,8 @@
     public boolean untried;
     /** Set once it has ended undelivered; it stays owed until the platform has heard. */
     public Ending ending;
+    /** A lost decision about it has been reported. */
+    public boolean reported;
     /** What a compacted journal would spend on it. */
     int bytes;
 
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -1,9 +1,7 @@
 package wrenreach.held;
 
 import java.io.ByteArrayOutputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -12,9 +10,11 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.zip.CRC32;
 import wrenreach.endpoints.ListLog;
@@ -42,47 +42,55 @@
     private final Path next;
     private final ListLog lists;
     private final Ballast ballast;
-    private final LongSupplier wallMillis;
+    /** Microseconds of a clock that only goes forward. */
+    private LongSupplier micros = () -> System.nanoTime() / 1000;
     private final long fileLimit;
     private final long owedLimit;
     private final Map<String, HeldMail> owed;
     private final boolean resumed;
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream(1 << 12);
+    /** What the next write records, in order. */
+    private final List<Pending> pending = new ArrayList<>();
     private FileChannel channel;
     private long size;
     private long owedBytes;
+    /** By which the records' times are; null: the wall's. */
+    private TimeBase base;
+    private boolean baseUnrecorded;
+    /** What the file holds behind the records that lasted is not known: the next write makes a new file. */
+    private boolean tailUnknown;
 
-    private Journal(Path folder, long limit, LongSupplier wallMillis, Map<String, HeldMail> owed, long size) throws IOException {
+    /** An entry with the bytes of its record. */
+    private record Pending(Entry entry, byte[] bytes) { }
+
+    /** The bytes of the file that are whole records, and the clock that their times are by; null: the wall's. */
+    private record Replayed(long bytes, TimeBase base) { }
+
+    private Journal(Path folder, long limit, Map<String, HeldMail> owed, Replayed replayed) throws IOException {
         file = folder.resolve(NAME);
         next = folder.resolve(NEXT);
         lists = new ListLog(folder, limit);
         fileLimit = (long) (limit * FILE_PART);
         owedLimit = (long) (limit * OWED_PART);
         this.owed = owed;
-        this.size = size;
+        size = replayed.bytes;
+        base = replayed.base;
         resumed = size > 0;
         owed.values().forEach(held -> owedBytes += held.bytes);
         Files.deleteIfExists(next);
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         channel.truncate(size);
         channel.position(size);
-        this.wallMillis = wallMillis;
         ballast = new Ballast(folder.resolve("ballast"), (long) (limit * BALLAST_PART));
     }
 
     /** Opens the folder's journal for writing; limit: bytes that the folder may hold. */
     public static Journal open(Path folder, long limit) throws IOException {
-        return open(folder, limit, System::currentTimeMillis);
-    }
-
-    /** The same by another clock. */
-    public static Journal open(Path folder, long limit, LongSupplier wallMillis) throws IOException {
         if (Files.exists(folder.resolve(STORE))) {
             // Guards what is owed: a node that went back to the journal would know nothing of it.
             throw new IOException(folder.resolve(STORE) + " holds what is owed: [store] has to stay on");
         }
         Map<String, HeldMail> owed = new LinkedHashMap<>();
-        return new Journal(folder, limit, wallMillis, owed, replay(folder.resolve(NAME), owed));
+        return new Journal(folder, limit, owed, replay(folder.resolve(NAME), owed));
     }
 
     /** What the folder's journal owes, in the order taken on; nothing is written. */
@@ -92,6 +100,16 @@
         return new ArrayList<>(owed.values());
     }
 
+    @Override public Optional<TimeBase> timeBase() {
+        return Optional.ofNullable(base);
+    }
+
+    @Override public void startClock(TimeBase started, LongSupplier itsMicros) {
+        micros = itsMicros;
+        baseUnrecorded = !started.equals(base);
+        base = started;
+    }
+
     @Override public boolean resumed() {
         return resumed;
     }
@@ -132,8 +150,33 @@
     @Override public void over(HeldMail held) {
         if (held.owed && owed.remove(held.submission.id(), held)) {
             held.owed = false;
-            append(pending, new Entry.Over(held.submission.id()));
+            add(new Entry.Over(held.submission.id()));
+            owedBytes -= held.bytes;
+        }
+    }
+
+    @Override public boolean writesAgain() {
+        return true;
+    }
+
+    @Override public void retract(HeldMail held) {
+        if (owed.remove(held.submission.id(), held)) {
+            held.owed = false;
             owedBytes -= held.bytes;
+            pending.removeIf(one -> one.entry.id().equals(held.submission.id()));
+        }
+    }
+
+    @Override public void retractAttempt(HeldMail held, int number) {
+        for (Iterator<Pending> all = pending.iterator(); all.hasNext();) {
+            Pending one = all.next();
+            if (one.entry instanceof Entry.Connecting connecting && connecting.id().equals(held.submission.id())
+                    && connecting.connect().number() == number) {
+                all.remove();
+                held.bytes -= one.bytes.length;
+                owedBytes -= one.bytes.length;
+                held.connects.remove(connecting.connect());
+            }
         }
     }
 
@@ -153,17 +196,38 @@
 
     /** The same, for who has no turn. */
     public void write() throws IOException {
-        if (ballast.restore(1000 * wallMillis.getAsLong())) {
+        if (ballast.restore(micros.getAsLong())) {
             LogEvent.tell(LOG, Level.WARNING, "journal.room", "the disk has room again: mails are taken on");
         }
-        if (pending.size() == 0) {
+        if (pending.isEmpty() && !tailUnknown) {
             return;
         }
-        while (!appended()) {
-            channel.truncate(size);
-            channel.position(size);
+        try {
+            while (!appended()) {
+                cutTail();
+            }
+        } catch (IOException e) {
+            afterFailure(e);
+            throw e;
+        }
+        pending.clear();
+        tailUnknown = false;
+    }
+
+    private void cutTail() throws IOException {
+        channel.truncate(size);
+        channel.position(size);
+    }
+
+    /** What a failed write has left in the file is cut off at once: another process would take whole records of it for promises. */
+    private void afterFailure(IOException failure) {
+        try {
+            cutTail();
+            tailUnknown |= !FolderFault.isForWantOfRoom(failure);
+        } catch (IOException e) {
+            tailUnknown = true;
+            failure.addSuppressed(e);
         }
-        pending.reset();
     }
 
     /**
@@ -187,10 +251,12 @@
     }
 
     private void append() throws IOException {
-        if (size + pending.size() > fileLimit) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(1 << 12);
+        pending.forEach(one -> bytes.writeBytes(one.bytes));
+        if (tailUnknown || size + bytes.size() > fileLimit) {
             compact();
         } else {
-            size += write(channel, pending);
+            size += write(channel, bytes);
         }
     }
 
@@ -198,7 +264,10 @@
     private void compact() throws IOException {
         long before = size;
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) Math.max(64, owedBytes));
-        owed.values().forEach(held -> entries(held).forEach(entry -> append(bytes, entry)));
+        if (base != null) {
+            bytes.writeBytes(recordOf(new Entry.Clock(base)));
+        }
+        owed.values().forEach(held -> entries(held).forEach(entry -> bytes.writeBytes(recordOf(entry))));
         FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                 StandardOpenOption.TRUNCATE_EXISTING);
         int after;
@@ -232,22 +301,25 @@
     }
 
     private void note(HeldMail held, Entry entry) {
-        int bytes = append(pending, entry);
+        int bytes = add(entry);
         held.bytes += bytes;
         owedBytes += bytes;
     }
 
-    private static int append(ByteArrayOutputStream to, Entry entry) {
-        byte[] content = entry.encode();
-        DataOutputStream out = new DataOutputStream(to);
-        try {
-            out.writeInt(content.length);
-            out.writeInt(checksum(content));
-            out.write(content);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+    private int add(Entry entry) {
+        if (baseUnrecorded) {
+            // Not by itself: a process that records nothing leaves the folder as it was.
+            baseUnrecorded = false;
+            add(new Entry.Clock(base));
         }
-        return HEAD + content.length;
+        Pending one = new Pending(entry, recordOf(entry));
+        pending.add(one);
+        return one.bytes.length;
+    }
+
+    private static byte[] recordOf(Entry entry) {
+        byte[] content = entry.encode();
+        return ByteBuffer.allocate(HEAD + content.length).putInt(content.length).putInt(checksum(content)).put(content).array();
     }
 
     private static int write(FileChannel to, ByteArrayOutputStream bytes) throws IOException {
@@ -259,10 +331,11 @@
     }
 
     /** Reads records until the end or the first that is not whole; the length of those that are. */
-    private static long replay(Path file, Map<String, HeldMail> owed) throws IOException {
+    private static Replayed replay(Path file, Map<String, HeldMail> owed) throws IOException {
         if (!Files.exists(file)) {
-            return 0;
+            return new Replayed(0, null);
         }
+        TimeBase base = null;
         ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file));
         int good = 0;
         while (bytes.remaining() >= HEAD) {
@@ -276,14 +349,16 @@
             if (checksum(content) != checksum) {
                 break;
             }
-            apply(Entry.decode(content), HEAD + length, owed);
+            Entry entry = Entry.decode(content);
+            base = entry instanceof Entry.Clock clock ? clock.base() : base;
+            apply(entry, HEAD + length, owed);
             good = bytes.position();
         }
         if (good < bytes.limit()) {
             LogEvent.tell(LOG, Level.WARNING, "journal.torn", "journal: cut off a torn tail of {bytes} bytes",
                     "bytes", bytes.limit() - good);
         }
-        return good;
+        return new Replayed(good, base);
     }
 
     private static void apply(Entry entry, int bytes, Map<String, HeldMail> owed) {
