--- /dev/null
+++ b/app/src/test/java/wrenreach/app/SoakTest.java
@@ -0,0 +1,55 @@
+package wrenreach.app;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wrenreach.lab.LabCommand;
+
+/** The soak's days on fleets of processes, a few of them; more are played by hand. */
+class SoakTest {
+    @TempDir Path folder;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+    private int soak(String... words) {
+        PrintStream print = new PrintStream(out, true, StandardCharsets.UTF_8);
+        return new LabCommand().run(List.of(words), print, print);
+    }
+
+    private String said() {
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test void drawnDaysKeepTheRules() {
+        assertThat(soak("soak", "--seeds", "1..6", "--out", folder.toString())).as(said()).isZero();
+        assertThat(said()).contains("6 days played, 0 failed");
+    }
+
+    /** A day that breaks a rule fails, names it, and can be played again: here the platform can't be reached by anyone. */
+    @Test void aDayThatBreaksARuleFails() throws Exception {
+        Path day = Files.writeString(folder.resolve("bad.day"), """
+                seed 5
+                nodes 1
+                destinations 1
+                endpoints 1
+                rate 30
+                length 3000
+                class once once_only importance 1 target 1000 lifetime 1500 share 1
+                fault silent all at 200 for 9000
+                fault socket_fails 0 1 at 400 for 9000
+                """);
+        assertThat(soak("soak", "--day", day.toString(), "--out", folder.toString())).as(said()).isEqualTo(1);
+        assertThat(said()).contains("BROKEN LOST");
+    }
+
+    @Test void usageIsToldWithCode2() {
+        assertThat(soak("soak")).isEqualTo(2);
+        assertThat(said()).contains("--seeds A..B or --day FILE");
+    }
+}
--- a/lab/src/main/java/wrenreach/lab/Soak.java
+++ b/lab/src/main/java/wrenreach/lab/Soak.java
@@ -102,6 +102,7 @@
         Files.createDirectories(logs);
         try {
             Trials.Trial trial = Load.day(day, Experiment.Setup.NONE, 1, logs);
+            trial.verdict().unjudged().forEach(one -> say("seed " + day.seed() + ": can't tell of " + one.rule() + ": " + one.what()));
             return trial.breaks().stream().map(one -> one.rule() + ": " + one.what()).toList();
         } catch (IOException e) {
             return List.of("NOT PLAYED: " + e.getMessage());
