--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -278,13 +278,23 @@
             fresh.close();
             throw e;
         }
-        channel.close();
+        FileChannel replaced = channel;
         channel = fresh;
         size = after;
+        closeReplaced(replaced);
         LogEvent.tell(LOG, Level.INFO, "journal.compacted", "journal compacted: {before} to {after} bytes, {owed} mails owed",
                 "before", before, "after", size, "owed", owed.size());
     }
 
+    /** The records are in the new file by now: an error of the old one is no failure of the write. */
+    private static void closeReplaced(FileChannel replaced) {
+        try {
+            replaced.close();
+        } catch (IOException e) {
+            LogEvent.tell(LOG, Level.WARNING, "journal.old", "the journal's old file can't be closed: {why}", "why", e.getMessage());
+        }
+    }
+
     private static List<Entry> entries(HeldMail held) {
         List<Entry> entries = new ArrayList<>();
         entries.add(new Entry.Taken(held.submission, held.endsBy));
--- a/node/src/test/java/wrenreach/held/JournalTest.java
+++ b/node/src/test/java/wrenreach/held/JournalTest.java
@@ -1,8 +1,10 @@
 package wrenreach.held;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -54,6 +56,67 @@
         }
     }
 
+    @Test void whatIsTakenBackBeforeItIsWrittenNeverWas() throws IOException {
+        HeldMail stays = mail("stays", 4);
+        try (Journal journal = Journal.open(folder, LIMIT)) {
+            journal.taken(stays);
+            journal.connecting(stays, connect(0, false));
+            journal.write();
+            HeldMail gone = mail("gone", 4);
+            journal.taken(gone);
+            journal.connecting(gone, connect(0, false));
+            journal.connecting(stays, connect(1, false));
+            journal.retractAttempt(stays, 1);
+            journal.retract(gone);
+            assertThat(gone.owed).isFalse();
+            journal.connecting(stays, connect(1, true));
+            journal.write();
+        }
+        assertThat(owed()).containsExactly("stays");
+        assertThat(Journal.read(folder).get(0).connects).containsExactly(connect(0, false), connect(1, true));
+    }
+
+    /** A file that can't be written or cut any more is not believed: the next write makes a new one of all that is owed. */
+    @Test void afterAFailedWriteTheNextOneRecordsAll() throws IOException {
+        HeldMail first = mail("first", 4);
+        Journal journal = Journal.open(folder, LIMIT);
+        journal.taken(first);
+        journal.write();
+        journal.close();
+        journal.ended(first, new Ending(false, 0));
+        assertThatThrownBy(journal::write).isInstanceOf(ClosedChannelException.class);
+        HeldMail second = mail("second", 4);
+        journal.taken(second);
+        journal.write();
+        journal.over(second);
+        journal.write();
+        journal.close();
+        assertThat(owed()).containsExactly("first");
+        assertThat(Journal.read(folder).get(0).ending).isEqualTo(new Ending(false, 0));
+    }
+
+    /** The clock goes with the first record, not before, and outlasts compaction. */
+    @Test void theClockOfItsTimesIsRecordedOnce() throws IOException {
+        TimeBase base = new TimeBase("a boot", 12);
+        try (Journal journal = Journal.open(folder, LIMIT)) {
+            assertThat(journal.timeBase()).isEmpty();
+            journal.startClock(base, () -> 0);
+            journal.write();
+            assertThat(Files.size(folder.resolve("journal"))).isZero();
+            for (int i = 0; i < 200; i++) {
+                HeldMail mail = mail("m" + i, 1000);
+                journal.taken(mail);
+                journal.write();
+                journal.over(mail);
+            }
+            journal.write();
+            assertThat(journal.size()).as("it has been compacted").isLessThan(LIMIT);
+        }
+        try (Journal journal = Journal.open(folder, LIMIT)) {
+            assertThat(journal.timeBase()).contains(base);
+        }
+    }
+
     /** Guards a kill at any byte: whole records count, the torn one does not, and new ones follow them. */
     @Test void aFileCutAtAnyByteKeepsItsWholeRecords() throws IOException {
         List<Long> ends = new ArrayList<>();
