The circuit breaker in a module of its own; the same decisions

CircuitBreaker opens, cools down, tries and closes; its departures from the source stand in its doc comment; named in policy.

--- a/decisions/src/main/java/wrenreach/Choice.java
+++ b/decisions/src/main/java/wrenreach/Choice.java
@@ -17,17 +17,10 @@
     private static final long NEVER = Long.MAX_VALUE;
     private static final long SECOND = 1_000_000;
 
-    // Breaker: the design's run, trials and aging. Fewer than 8 where a route sees fewer than 16 calls in the
-    // ring's span; three is the least that a stray failure or two can't make.
-    private static final int RUN = 8, LEAST_RUN = 3, TRIALS = 2;
-    private static final long FORGET = 60 * SECOND;
-    private static final double REST_SHARE = 0.3, TRIAL_FILL = 1.0;
-    // Shares of the ring's outcomes: an outage is most calls failing; parking wants near certainty.
     private static final int RING = 8, SUSPECT_RUN = 2, SHUT_RUN = 4, DOUBLINGS = 3;
-    private static final double FAILS_MOSTLY = 0.75, FAILS_OFTEN = 0.5;
     // Ratios to the target delay: worth is lost on that scale. Rest and cut-off leave time for another try
     // within it; burst is what a receiver's short queue takes; the share regains slower than bursts come.
-    private static final double REST = 0.4, CUT = 0.6, SHUT_AFTER = 1.5, FIRST_USUAL = 0.1, HEARTBEAT = 0.04;
+    private static final double CUT = 0.6, SHUT_AFTER = 1.5, FIRST_USUAL = 0.1, HEARTBEAT = 0.04;
     // Ratios to a route's usual time: one call in some hundred takes over 6 times the mean where times spread
     // as an exponential does or somewhat wider; two places keep one busy while the other is on its way.
     private static final double CUT_USUAL = 8, CUT_HUNG = 6, OVERDUE = 6, PLACES = 2, CLIP = 3, SLOWED = 4;
@@ -51,7 +44,7 @@
     private final int nodes, me, zone, slots, lane, heldLimit, tries, leftAt, proof;
     private final long seed, tick, retryAfterLimit, idleFor, askEvery, coldFor, orderSettle, target, longest;
     private final boolean copies, mayCallOff, listOnRequest, weighed;
-    private final double overShareImportance, coldFrom, overload;
+    private final double overShareImportance;
     private final List<Settings.QueueClass> classes;
     private final List<Settings.Kind> kinds;
     private final double[] quota, quotaTokens;
@@ -59,6 +52,7 @@
     private final int[] roomy;
     private final LocalFaultBackoff localFaults;
     private final RateLimiter rates;
+    private final CircuitBreaker breakers;
     private final RepeatPolicy repeats;
 
     private final List<Destination> known = new ArrayList<>();
@@ -97,13 +91,12 @@
         quota = s.tenants().stream().mapToDouble(t -> t.quotaPerSecond() / s.nodes()).toArray();
         quotaTokens = quota.clone();
         quotaAt = new long[quota.length];
-        coldFrom = s.rules().coldFrom();
         coldFor = s.rules().cold();
-        overload = s.rules().overloadFactor();
         orderSettle = s.rules().orderSettle();
         target = classes.stream().mapToLong(Settings.QueueClass::targetDelay).min().orElse(SECOND);
         localFaults = new LocalFaultBackoff(target);
         rates = new RateLimiter(s, target, known::size);
+        breakers = new CircuitBreaker(s, target, rates, this::chance, (text, at) -> answers.add(new Answer.Note(text)));
         repeats = new RepeatPolicy(classes, tick);
         longest = classes.stream().mapToLong(Settings.QueueClass::lifetime).max().orElse(SECOND);
     }
@@ -470,7 +463,11 @@
         Route r = e.route;
         // Half of the slots, but two of three: guards clumps at nodes of few slots. Harm: it may turn silent.
         int most = Math.max(Math.min(2, slots - 1), Math.max(1, slots / 2));
-        if (slotsOut >= slots || e.to.out >= most || e.out >= places(e, now) || !breakerLets(r, now)) {
+        if (slotsOut >= slots || e.to.out >= most || e.out >= places(e, now)) {
+            return false;
+        }
+        if (!breakers.allows(r, now)) {
+            later(breakers.coolsDown(r, now) ? r.breaker.restsUntil : now, now);
             return false;
         }
         if (sick(r, now) && (r.calls.size() >= 1 || laneOut(now) >= lane)) {
@@ -551,11 +548,7 @@
         m.out++;
         m.to.line.remove(m);
         r.usedAt = now;
-        if (r.breaker.phase != Breaker.Phase.CLOSED) {
-            r.breaker.phase = Breaker.Phase.HALF_OPEN;
-            r.breaker.trial = c;
-            c.trial = true;
-        }
+        breakers.onAttempt(r, c);
         answers.add(new Answer.Send(c));
     }
 
@@ -707,13 +700,7 @@
         c.endpoint.failedRun = 0;
         c.endpoint.relayedAt = now;
         r.warmsFrom = r.cold && r.warmsFrom == NEVER ? now : r.warmsFrom;
-        Breaker b = r.breaker;
-        if (b.phase == Breaker.Phase.CLOSED) {
-            b.failedRun = 0;
-        } else if (b.phase == Breaker.Phase.HALF_OPEN && c.trial && ++b.trialRun >= TRIALS) {
-            closed(b, now);
-            note(r, "closed after " + TRIALS + " trials relayed");
-        }
+        breakers.onDelivered(r, c, now);
     }
 
     private void deferred(Route r, long wait, long now) {
@@ -751,7 +738,7 @@
         // more.
         gap = scarce ? 2 * rates.interval(r, now) * chance(wait) : gap;
         if (now + wait - r.downSince > target) {
-            gap = Math.max(wait > 0 ? 0 : gap, 2 * rest(r, now + wait) * chance(r.downSince));
+            gap = Math.max(wait > 0 ? 0 : gap, 2 * breakers.coolDown(r, now + wait) * chance(r.downSince));
         } else if (wait > 0) {
             gap = now - r.relayedAt > target ? 2 * rates.interval(r, now) * chance(wait) : 0;
         }
@@ -767,7 +754,7 @@
         c.endpoint.failedAt = now;
         Breaker b = r.breaker;
         if (b.phase == Breaker.Phase.HALF_OPEN && c.trial) {
-            open(r, outcome, now);
+            breakers.open(r, outcome, now);
         } else if (b.phase == Breaker.Phase.CLOSED && c.sentAt >= b.closedAt) {
             b.failedRun++;
             pause(r, 0, false, now);
@@ -776,71 +763,16 @@
             // row, as it may not see a third. Not the first there: that pace is a mail in half a minute.
             boolean spare = now - r.relayedAt > target && (c.endpoint.to.routes.size() > 1
                     || rates.sparseness(r) >= 1 && b.failedRun >= SUSPECT_RUN);
-            if (spare || b.failedRun >= LEAST_RUN || failsOften(r, LEAST_RUN, FAILS_OFTEN, now)) {
+            if (spare || breakers.suspects(r, now)) {
                 r.cold = true;
                 r.warmsFrom = NEVER;
             }
-            if (b.failedRun >= threshold(r, now) || failsOften(r, LEAST_RUN, FAILS_MOSTLY, now)) {
-                open(r, outcome, now);
+            if (breakers.trips(r, now)) {
+                breakers.open(r, outcome, now);
             }
         }
     }
 
-    // ---- Breaker ----
-
-    private int threshold(Route r, long now) {
-        return Math.max(LEAST_RUN, Math.min(RUN, r.sent.sum(now) / 2));
-    }
-
-    private boolean failsOften(Route r, int least, double share, long now) {
-        int failed = r.failed.sum(now);
-        return failed >= least && failed >= share * (failed + r.relayed.sum(now));
-    }
-
-    private void open(Route r, Outcome outcome, long now) {
-        Breaker b = r.breaker;
-        String before = b.phase == Breaker.Phase.CLOSED ? "opened" : "reopened";
-        b.phase = Breaker.Phase.OPEN;
-        b.openedAt = now;
-        // Guards against a healed destination left waiting while its mails turn late: a trial risks one mail
-        // only, so the rest is a part of the target delay, not 5 s. Harm: more trials meet a silent receiver.
-        // Where many nodes rest, they began in step: spread over as long, as over less too many came at once.
-        double rest = rest(r, now), by = chance(b.openedAt);
-        b.restsUntil = now + (long) (rest * (rest > REST * target ? 0.5 + by : 1 + REST_SHARE * by));
-        b.trialRun = 0;
-        b.failedRun = 0;
-        r.cold = true;
-        r.warmsFrom = NEVER;
-        note(r, before + " by " + outcome.getClass().getSimpleName());
-    }
-
-    /**
-     * Guards a cold receiver against the trials of many nodes: those that by now may have a mail for it, at
-     * most all, bring no more than it can do when it returns. Harm: an outage ends late at sparse nodes.
-     */
-    private double rest(Route r, long now) {
-        double waiting = Math.min(nodes, rates.limit(r) * (now - r.downSince) / SECOND);
-        return Math.max(REST * target, TRIAL_FILL * SECOND * waiting / (overload * coldFrom * rates.limit(r)));
-    }
-
-    private static void closed(Breaker b, long now) {
-        b.phase = Breaker.Phase.CLOSED;
-        b.failedRun = 0;
-        b.closedAt = now;
-    }
-
-    private boolean breakerLets(Route r, long now) {
-        Breaker b = r.breaker;
-        if (b.phase != Breaker.Phase.CLOSED && now - r.usedAt > FORGET) {
-            closed(b, now);
-        }
-        if (b.phase == Breaker.Phase.OPEN && now < b.restsUntil) {
-            later(b.restsUntil, now);
-            return false;
-        }
-        return b.phase == Breaker.Phase.CLOSED || b.trial == null;
-    }
-
     // ---- Lane ----
 
     private boolean sick(Route r, long now) {
@@ -1032,7 +964,4 @@
         return crc.getValue() / (double) (1L << 32);
     }
 
-    private void note(Route r, String text) {
-        answers.add(new Answer.Note(r.name + ": breaker " + text));
-    }
 }
