--- a/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.sun.net.httpserver.HttpServer;
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
@@ -493,6 +494,14 @@
         owedNothing();
     }
 
+    /** News that another thread brings are put on the loop: two threads at a time in its state would lose decisions. */
+    @Test void newsFromAnotherThreadArePutOnTheLoop() throws Exception {
+        start();
+        CompletableFuture<Boolean> onLoop = new CompletableFuture<>();
+        node.enter(() -> onLoop.complete(((EventLoop) node.loop()).inEventLoop()));
+        assertThat(onLoop.get(20, TimeUnit.SECONDS)).isTrue();
+    }
+
     /** A decision that is lost on its way leaves no message owed for ever: the platform is told, if late. */
     @Test void aMessageThatOnlyTheDecisionsTakeForEndedIsFoundAndEnded() throws Exception {
         answer = 500;
