A connection given up by the node itself is no failure of its machine

Cause: closing a channel before it is up fails its connect with ClosedChannelException, which was logged as this machine's failure; the outcome of its attempt had been reported by then, so no decision changed.

--- a/node/src/main/java/wrenreach/net/Connector.java
+++ b/node/src/main/java/wrenreach/net/Connector.java
@@ -10,6 +10,7 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
+import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.Future;
 import wrenreach.log.LogEvent;
 import wrenreach.log.Ration;
@@ -78,7 +79,9 @@
     static boolean isOfThisMachine(Throwable cause) {
         boolean ofTheOther = cause instanceof ConnectException || cause instanceof NoRouteToHostException
                 || cause instanceof ConnectTimeoutException || reason(cause).contains("reset");
-        return !ofTheOther;
+        // The node has given the connection up itself before it was there.
+        boolean closedHere = cause instanceof ClosedChannelException;
+        return !ofTheOther && !closedHere;
     }
 
     private static String reason(Throwable cause) {
--- a/node/src/test/java/wrenreach/net/ConnectorTest.java
+++ b/node/src/test/java/wrenreach/net/ConnectorTest.java
@@ -17,6 +17,7 @@
 import java.net.NoRouteToHostException;
 import java.net.ServerSocket;
 import java.net.SocketException;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -96,5 +97,6 @@
         assertThat(Connector.isOfThisMachine(new ConnectException("Connection timed out"))).isFalse();
         assertThat(Connector.isOfThisMachine(new NoRouteToHostException("No route to host"))).isFalse();
         assertThat(Connector.isOfThisMachine(new SocketException("Connection reset by peer"))).isFalse();
+        assertThat(Connector.isOfThisMachine(new ClosedChannelException())).as("given up here").isFalse();
     }
 }
