--- a/node/src/main/java/wrenreach/node/MessageLog.java
+++ b/node/src/main/java/wrenreach/node/MessageLog.java
@@ -20,17 +20,25 @@
  */
 final class MessageLog {
     private static final System.Logger LOG = System.getLogger("wrenreach.message");
-    /** Lines of one kind in that time, in microseconds. */
-    private static final int LINES = 60;
+    /** The time for which lines are rationed, in microseconds. */
     private static final long WINDOW = 10_000_000;
 
-    private enum Kind { REFUSED, ATTEMPT, ENDED, DEFECT }
+    /** Kinds of lines, with how many are written in the window. Refusals are few: their clients have heard the reason. */
+    private enum Kind {
+        REFUSED(10), ATTEMPT(60), ENDED(60), DEFECT(60);
+
+        private final int lines;
+
+        Kind(int lines) {
+            this.lines = lines;
+        }
+    }
 
     private final Map<Kind, Ration> rations = new EnumMap<>(Kind.class);
 
     MessageLog() {
         for (Kind kind : Kind.values()) {
-            rations.put(kind, new Ration(LINES, WINDOW));
+            rations.put(kind, new Ration(kind.lines, WINDOW));
         }
     }
 
