--- a/node/src/main/java/wrenreach/net/Connector.java
+++ b/node/src/main/java/wrenreach/net/Connector.java
@@ -16,7 +16,8 @@
 import wrenreach.log.Ration;
 
 /**
- * Opens outgoing connections and reports what came of each in a task of the event loop of its own.
+ * Opens outgoing connections and reports what came of each on the event loop, never from within the call that asked; a failure in a
+ * task of its own.
  *
  * <p>Netty reports a connection whose socket can't be made (ENFILE, ENOBUFS) on a thread that is not the loop's, and may report other
  * failures before the call that asked has returned. Either way state that the loop owns would be changed in the middle of an
@@ -28,7 +29,7 @@
     private static final int LINES = 3;
     private static final long WINDOW = 10_000_000;
 
-    /** Told in a task of the loop what came of one connection. */
+    /** Told on the loop what came of one connection. */
     interface Listener {
         void connected(Channel channel);
 
@@ -51,11 +52,31 @@
     /** Begins a connection; the channel, so that it can be closed before it is up, or null where there is none. */
     Channel open(InetSocketAddress to, ChannelInitializer<Channel> handlers, Listener listener) {
         ChannelFuture opening = bootstrap.clone().handler(handlers).connect(to);
-        opening.addListener(done -> loop.execute(() -> report(to, opening, listener)));
+        boolean overAtOnce = opening.isDone();
+        opening.addListener(done -> {
+            // A connection comes up while the loop looks at its sockets: what it brings joins that iteration. A failure may come in the
+            // middle of whoever closes the connection.
+            if (done.isSuccess() && !overAtOnce && loop.inEventLoop()) {
+                reportNow(to, opening, listener);
+            } else {
+                loop.execute(() -> report(to, opening, listener));
+            }
+        });
         // What Netty hands out in place of a channel that can't be made throws when it is closed.
         return opening.channel().isRegistered() ? opening.channel() : null;
     }
 
+    /** What a listener of a future throws is only logged: it goes on in a task, whose throws the node is told. */
+    private void reportNow(InetSocketAddress to, Future<?> opening, Listener listener) {
+        try {
+            report(to, opening, listener);
+        } catch (RuntimeException | Error e) {
+            loop.execute(() -> {
+                throw e;
+            });
+        }
+    }
+
     private void report(InetSocketAddress to, Future<?> opening, Listener listener) {
         ChannelFuture over = (ChannelFuture) opening;
         if (over.isSuccess()) {
