Lab: receivers and platforms whose responses come twice, in part, early or late

Change: twelve kinds of faults, each a share of the responses (figure) with a longest delay (more), for fleets in memory and of processes: rejecting, copy_after_response, copy_after_request, half_copy, copy_with_response, wrong_length, interim, in_pieces, alike of receivers, notices_refused, notice_copies, list_copies of platforms. While the platform refuses notices, endings are not overdue, as while it is cut off; they are still owed.

--- a/lab/src/main/java/wrenreach/lab/FaultText.java
+++ b/lab/src/main/java/wrenreach/lab/FaultText.java
@@ -88,7 +88,7 @@
         return switch (kind) {
             case DELAY, REORDERING -> 2;
             case RESET, RATE, LOSS, DOUBLING, WALL_AHEAD, WALL_BEHIND -> 1;
-            default -> kind.failingCall() == null ? 0 : 2;
+            default -> kind.failingCall() == null && !kind.ofResponses() ? 0 : 2;
         };
     }
 
@@ -99,7 +99,7 @@
             throw new IllegalArgumentException(kind.keyword() + " takes " + min + " to " + max + " figures, not " + figures.size());
         }
         boolean share = kind == Scenario.Kind.RESET || kind == Scenario.Kind.LOSS || kind == Scenario.Kind.DOUBLING
-                || kind == Scenario.Kind.REORDERING || kind.failingCall() != null;
+                || kind == Scenario.Kind.REORDERING || kind.failingCall() != null || kind.ofResponses();
         if (!figures.isEmpty() && (share && figures.get(0) > 1 || !(figures.get(0) > 0))) {
             throw new IllegalArgumentException(kind.keyword() + ": " + formatNumber(figures.get(0)) + " is "
                     + (share ? "no share above 0, up to 1" : "not above 0"));
--- a/lab/src/main/java/wrenreach/lab/HttpConnection.java
+++ b/lab/src/main/java/wrenreach/lab/HttpConnection.java
@@ -69,8 +69,16 @@
     }
 
     /** Writes a response without a body. */
-    void respondWithoutBody(String status, String... headers) {
-        write("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n" + String.join("\r\n", headers)
-                + (headers.length > 0 ? "\r\n" : "") + "\r\n");
+    void respondWithoutBody(String status) {
+        write(response(status, ""));
+    }
+
+    /** The text of a response. */
+    static String response(String status, String body, String... headers) {
+        StringBuilder text = new StringBuilder("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n");
+        for (String header : headers) {
+            text.append(header).append("\r\n");
+        }
+        return text + "\r\n" + body;
     }
 }
--- a/lab/src/main/java/wrenreach/lab/Platform.java
+++ b/lab/src/main/java/wrenreach/lab/Platform.java
@@ -19,6 +19,7 @@
     private final Network.Party party;
     private final Supplier<String> list;
     private final List<HttpConnection> listStreams = new ArrayList<>();
+    private final ResponseFaults responseFaults;
 
     /** Listens at the address and at the next port. list: supplies the current endpoint list, whole, in the format of discovery. */
     Platform(World world, String node, InetSocketAddress address, Supplier<String> list) {
@@ -26,6 +27,7 @@
         this.node = node;
         this.list = list;
         party = new Network.Party("platform-" + node);
+        responseFaults = new ResponseFaults(world);
         world.network.listen(address, this);
         world.network.listen(new InetSocketAddress(address.getAddress(), address.getPort() + 1), this);
         sendHeartbeats();
@@ -45,25 +47,49 @@
         stream.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
 
+    /** Begins a fault of its responses: one in two copies of a notice's answer is timed from the answer, the others from the next post. */
+    void begin(Scenario.Fault fault) {
+        if (fault.kind() == Scenario.Kind.NOTICE_COPIES) {
+            for (Scenario.Kind kind : List.of(Scenario.Kind.COPY_AFTER_RESPONSE, Scenario.Kind.COPY_AFTER_REQUEST)) {
+                responseFaults.begin(new Scenario.Fault(kind, fault.target(), fault.figure(), fault.more(), fault.atMs(), null, fault.forMs()));
+            }
+        } else {
+            responseFaults.begin(fault);
+        }
+    }
+
     /** Sends the current list on all streams, as it has changed. */
     void listChanged() {
-        listStreams.forEach(stream -> writeChunk(stream, list.get() + "\n"));
+        listStreams.forEach(this::writeList);
+    }
+
+    private void writeList(HttpConnection stream) {
+        String text = list.get() + "\n";
+        writeChunk(stream, text);
+        if (responseFaults.strikes(Scenario.Kind.LIST_COPIES)) {
+            world.scheduleIn(responseFaults.delay(Scenario.Kind.LIST_COPIES), () -> writeChunk(stream, text));
+        }
     }
 
     @Override public Network.End accepted(Network.Link link, InetSocketAddress from) {
         return new HttpConnection(link) {
+            private final ResponseFaults.Connection responses = responseFaults.new Connection(this::write);
+
             @Override void requestBegins(String head) { }
 
             @Override void requestReceived(Request request) {
-                if (request.path().startsWith("/v2/finals")) {
+                responses.requestReceived();
+                if (request.path().startsWith("/v2/finals") && responseFaults.strikes(Scenario.Kind.NOTICES_REFUSED)) {
+                    responses.respond(response("503 Service Unavailable", ""));
+                } else if (request.path().startsWith("/v2/finals")) {
                     Matcher notices = NOTICE.matcher(new String(request.body(), StandardCharsets.UTF_8));
                     while (notices.find()) {
                         world.record(new Fact.Noticed(world.now(), notices.group(1), node, notices.group(2)));
                     }
-                    write("HTTP/1.1 204 No Content\r\n\r\n");
+                    responses.respond("HTTP/1.1 204 No Content\r\n\r\n");
                 } else if (request.path().contains("stream=1")) {
                     write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                    writeChunk(this, list.get() + "\n");
+                    writeList(this);
                     listStreams.add(this);
                 } else {
                     String text = list.get();
--- a/lab/src/main/java/wrenreach/lab/Receiver.java
+++ b/lab/src/main/java/wrenreach/lab/Receiver.java
@@ -27,6 +27,10 @@
     private static final int QUEUE_LIMIT = 12;
     /** Below so many calls chance has more weight, and a larger tolerance is granted. */
     private static final int SMALL_BUDGET_CALLS = 30;
+    /** The time after which a call is refused where calls are not refused at once, in nanoseconds. */
+    private static final long REJECTION_NS = 77 * NS_PER_SECOND / 1000;
+    /** Spreads the numbers of the responses over all values of the id in their bodies. */
+    private static final long BODY_MULTIPLIER = 0x9E3779B97F4A7C15L;
     /** Mean service time at full speed, in nanoseconds. */
     private static final double MEAN_SERVICE_NS = 0.03 * NS_PER_SECOND;
 
@@ -36,12 +40,14 @@
     final Network.Party party;
     Scenario.Kind failing;
     boolean draining;
+    final ResponseFaults responseFaults;
     private final World world;
     private final double coldStartShare;
     private final double warmUpSeconds;
     private final double overloadFactor;
     private final double overloadWindowSeconds;
     private int busySlots;
+    private long responsesSent;
     /** Calls that wait for a slot. */
     private final Deque<Runnable> queue = new ArrayDeque<>();
     /** Counts the times that it went down: calls begun before the last one are never completed. */
@@ -60,6 +66,7 @@
         this.name = name;
         this.address = address;
         this.destination = destination;
+        responseFaults = new ResponseFaults(world);
         this.coldStartShare = coldStartShare;
         this.warmUpSeconds = warmUpSeconds;
         this.overloadFactor = overloadFactor;
@@ -69,6 +76,11 @@
         world.network.listen(address, this);
     }
 
+    /** The body of the next 200, another one for each unless the responses are made alike. */
+    private String nextBody() {
+        return responseFaults.strikes(Scenario.Kind.ALIKE) ? "ok" : String.format("%016x", (++responsesSent << Short.SIZE | number()) * BODY_MULTIPLIER);
+    }
+
     /** The number that is part of its name. */
     int number() {
         return Integer.parseInt(name.substring(1));
@@ -147,6 +159,7 @@
         return new HttpConnection(link) {
             private String currentId = "";
             private String answeredWith200 = "";
+            private final ResponseFaults.Connection responses = responseFaults.new Connection(this::write);
 
             @Override void requestBegins(String head) {
                 world.record(new Fact.Begun(world.now(), head.lines().findFirst().orElse(""),
@@ -164,6 +177,7 @@
                 unanswered.add(link);
                 world.record(new Fact.Called(world.now(), currentId, from.name, name, destination, second));
                 checkOverload(from);
+                responses.requestReceived();
                 serve(request);
             }
 
@@ -175,10 +189,12 @@
                     }
                 } else if (failing == Scenario.Kind.FULL) {
                     long wait = 400 + world.nextIntBelow(600);
-                    respond(id, "429 Too Many Requests", "Wait-Ms: " + wait);
+                    respond(id, "429 Too Many Requests", "", "Wait-Ms: " + wait);
                     world.record(new Fact.ToldWait(world.now(), link.initiator.name, destination, wait * 1_000_000));
                 } else if (busySlots >= SLOTS && queue.size() >= QUEUE_LIMIT || draining) {
-                    respond(id, "503 Service Unavailable");
+                    respond(id, "503 Service Unavailable", "");
+                } else if (responseFaults.strikes(Scenario.Kind.REJECTING)) {
+                    rejectLater(id);
                 } else if (busySlots >= SLOTS) {
                     queue.addLast(() -> work(request, id));
                 } else {
@@ -186,6 +202,15 @@
                 }
             }
 
+            private void rejectLater(String id) {
+                int currentGeneration = generation;
+                world.scheduleIn(REJECTION_NS, () -> {
+                    if (currentGeneration == generation && !closed) {
+                        respond(id, "503 Service Unavailable", "");
+                    }
+                });
+            }
+
             private void work(Request request, String id) {
                 busySlots++;
                 boolean fails = failing == Scenario.Kind.ERRING && world.withProbability(0.7);
@@ -203,7 +228,11 @@
                             world.record(new Fact.Delivered(world.now(), id, name));
                             answeredWith200 = id;
                         }
-                        respond(id, fails ? "500 Internal Server Error" : "200 OK");
+                        respond(id, fails ? "500 Internal Server Error" : "200 OK", fails ? "" : nextBody());
+                        if (!fails && responses.lastWasSpoilt()) {
+                            // A node that can't read it whole can't tell whose response it is.
+                            world.record(new Fact.Closed(world.now(), id, name));
+                        }
                     }
                     if (!queue.isEmpty()) {
                         queue.pollFirst().run();
@@ -216,10 +245,10 @@
                         link.closedByInitiator()));
             }
 
-            private void respond(String id, String status, String... headers) {
+            private void respond(String id, String status, String body, String... headers) {
                 forget(id);
                 currentId = "";
-                respondWithoutBody(status, headers);
+                responses.respond(response(status, body, headers));
             }
 
             @Override public void closed() {
--- a/lab/src/main/java/wrenreach/lab/Rules.java
+++ b/lab/src/main/java/wrenreach/lab/Rules.java
@@ -170,7 +170,7 @@
         switch (of.kind()) {
             case FREEZE -> of.targetIndexes(scenario.nodes()).forEach(i ->
                     addSpan(excusedSpans, "n" + i, new Span(fault.at(), fault.until() + RECOVERY_SLACK)));
-            case CUT_PLATFORM -> of.targetIndexes(scenario.nodes()).forEach(i -> addSpan(excusedSpans, "n" + i, during));
+            case CUT_PLATFORM, NOTICES_REFUSED -> of.targetIndexes(scenario.nodes()).forEach(i -> addSpan(excusedSpans, "n" + i, during));
             case FOLDER_FAILS -> of.targetIndexes(scenario.nodes()).forEach(i ->
                     addSpan(excusedSpans, "n" + i, new Span(fault.at(), fault.until() + RECOVERY_SLACK)));
             case TRANSFER_FAILS -> of.targetIndexes(scenario.nodes()).forEach(i -> addSpan(nodeFaults, "n" + i, during));
--- a/lab/src/main/java/wrenreach/lab/Scenario.java
+++ b/lab/src/main/java/wrenreach/lab/Scenario.java
@@ -89,7 +89,26 @@
         /** The wall clock of the node's machine is stepped by figure seconds, and back again when the fault is over. */
         WALL_AHEAD(TargetType.NODE, Environment.PROCESSES), WALL_BEHIND(TargetType.NODE, Environment.PROCESSES),
         /** The process is killed in the middle of its next write to the state folder. */
-        KILL_IN_WRITE(TargetType.NODE, Environment.PROCESSES);
+        KILL_IN_WRITE(TargetType.NODE, Environment.PROCESSES),
+        /** A share of the calls (figure) is refused with 503 after some time, in place of being served. */
+        REJECTING(TargetType.RECEIVER, Environment.BOTH),
+        /** A share of the responses (figure) is sent again, up to more ms after the response, or after the connection's next request. */
+        COPY_AFTER_RESPONSE(TargetType.RECEIVER, Environment.BOTH), COPY_AFTER_REQUEST(TargetType.RECEIVER, Environment.BOTH),
+        /** A share of the responses (figure) is sent again in part, up to more ms after the connection's next request. */
+        HALF_COPY(TargetType.RECEIVER, Environment.BOTH),
+        /** A share of the responses (figure) has the one before it on its connection directly ahead of it, in one write. */
+        COPY_WITH_RESPONSE(TargetType.RECEIVER, Environment.BOTH),
+        /** A share of the responses (figure) tells another length than it has, has interim responses ahead of it, or comes byte by byte. */
+        WRONG_LENGTH(TargetType.RECEIVER, Environment.BOTH), INTERIM(TargetType.RECEIVER, Environment.BOTH),
+        IN_PIECES(TargetType.RECEIVER, Environment.BOTH),
+        /** The receiver's responses of a status are all alike, to the byte. */
+        ALIKE(TargetType.RECEIVER, Environment.BOTH),
+        /** The platform refuses a share (figure) of the node's posts of notices with 503. */
+        NOTICES_REFUSED(TargetType.NODE, Environment.BOTH),
+        /** The platform answers a share (figure) of the node's posts twice: up to more ms after the answer, or after the next post. */
+        NOTICE_COPIES(TargetType.NODE, Environment.BOTH),
+        /** A share (figure) of the lists that discovery sends to the node is sent again, up to more ms later, after newer ones too. */
+        LIST_COPIES(TargetType.NODE, Environment.BOTH);
 
         final TargetType targetType;
         final Environment environment;
@@ -103,6 +122,11 @@
             return name().toLowerCase(Locale.ROOT);
         }
 
+        /** Whether it strikes a share of the responses of an HTTP server: figure: the share, more: the longest delay in ms. */
+        boolean ofResponses() {
+            return ordinal() >= REJECTING.ordinal();
+        }
+
         /** The system call of the process that the fault makes fail; null: none. */
         SystemCallFaults.Call failingCall() {
             return switch (this) {
@@ -242,17 +266,35 @@
             }
         }
         List<Fault> faults = new ArrayList<>();
-        List<Kind> kinds = Arrays.stream(Kind.values()).filter(kind -> kind.environment != Environment.PROCESSES).toList();
+        List<Kind> kinds = Arrays.stream(Kind.values()).filter(kind -> kind.environment != Environment.PROCESSES && !kind.ofResponses()).toList();
         int count = random.nextInt(6);
         for (int i = 0; i < count; i++) {
             Kind kind = kinds.get(random.nextInt(kinds.size()));
             int at = 500 + random.nextInt(length - 2000);
             faults.add(generate(kind, random.nextInt(12), figures, at, 300 + random.nextInt(4000)));
         }
+        // Faults of responses are drawn after all others, so that the rest of the day is what the seed stood for before there were any.
+        if (random.nextInt(3) == 0) {
+            addResponseFaults(random, 500, length, faults);
+        }
         faults.sort(Comparator.comparingInt(Fault::atMs));
         return new Scenario(seed, figures, classes, faults);
     }
 
+    /** Adds one to three faults of the responses of all receivers or platforms, between these times in milliseconds. */
+    static void addResponseFaults(UniformRandomProvider random, int from, int until, List<Fault> faults) {
+        List<Kind> kinds = Arrays.stream(Kind.values()).filter(Kind::ofResponses).toList();
+        int count = 1 + random.nextInt(3);
+        for (int i = 0; i < count; i++) {
+            Kind kind = kinds.get(random.nextInt(kinds.size()));
+            int at = from + random.nextInt(Math.max(1, (until - from) / 2));
+            double share = Math.round(100 * (0.05 + 0.4 * random.nextDouble())) / 100.0;
+            // Most copies come within some milliseconds, some within a second.
+            int delay = random.nextInt(4) == 0 ? 1000 : 1 + random.nextInt(40);
+            faults.add(new Fault(kind, "all", share, delay, at, null, until - at));
+        }
+    }
+
     /** A fault of this kind whose target follows from the number; at and length in milliseconds. */
     private static Fault generate(Kind kind, int number, Map<Figure, Integer> figures, int at, int length) {
         String node = "n" + number % figures.get(Figure.NODES);
--- a/lab/src/main/java/wrenreach/lab/ScenarioRun.java
+++ b/lab/src/main/java/wrenreach/lab/ScenarioRun.java
@@ -273,8 +273,12 @@
             }
             case DRAIN -> drain(receiver);
             default -> {
-                receiver.failing = fault.kind();
-                world.scheduleIn(length, () -> receiver.failing = null);
+                if (fault.kind().ofResponses()) {
+                    receiver.responseFaults.begin(fault);
+                } else {
+                    receiver.failing = fault.kind();
+                    world.scheduleIn(length, () -> receiver.failing = null);
+                }
             }
         }
     }
@@ -350,6 +354,7 @@
                 impair(List.of(new FaultText.DirectedLink(node.name, other), new FaultText.DirectedLink(other, node.name)),
                         new Impairment(Impairment.Kind.CUT, 0, 0), length);
             }
+            case NOTICES_REFUSED, NOTICE_COPIES, LIST_COPIES -> platforms.get(world.nodes.indexOf(node)).begin(fault);
             case KILL_IN_WRITE -> node.killInWrite(length);
             case WALL_AHEAD, WALL_BEHIND -> {
                 long step = (long) ((fault.kind() == Scenario.Kind.WALL_AHEAD ? 1e9 : -1e9) * fault.figure());
