A response counts for a call only if no earlier response of its connection can be it

Cause: Calls matched a response to the call in flight by position alone. A copy of an earlier response that came after the next write ended that call, and shifted every later response of the connection by one. A status line of 200 counted even if nothing tied it to the call.

Change: a connection carries one call at a time and is closed with a call that is given up, so what belongs to no call is a copy, whole or in part, of an earlier response of that connection. ConnectionReusePolicy (decisions, free of I/O) lets a response on a connection that carried other calls count only if it is whole, differs in status, body and the protocol's headers from all before it, and no other response begins in it; everything else closes the connection and ends the call as lost, which may have run. Connections are used again only at endpoints whose last two 200s had different bodies; elsewhere each call gets its own. An address that sent a proven stray gets a connection for each call for 20 lifetimes, kept by address (1,024, then all), so that a change of the list does not forget it. A response before its request is written ends the call as never run. StrayResponses logs connection, address, message before and in flight, and counts by kind.

Tests replaced: connectionIsReusedForTheNextCall used equal responses, which may no longer be reused; connectionIsReusedWhereResponsesDiffer and connectionIsNotReusedWhereResponsesAreAlike ask for both sides.

--- a/node/src/main/java/wrenreach/net/CallCodec.java
+++ b/node/src/main/java/wrenreach/net/CallCodec.java
@@ -3,14 +3,20 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32;
 import wrenreach.api.Outcome;
 import wrenreach.held.Submission;
+import wrenreach.state.ResponseFingerprint;
 
 /** Encodes a call as an HTTP request and decodes the response. */
 final class CallCodec {
@@ -19,6 +25,11 @@
     /** A load report with a larger value is ignored. */
     private static final double MAX_REPORTED_VALUE = 1e6;
 
+    /** The start of any response: it stands within another one where that was cut off and the next one came behind it. */
+    private static final String RESPONSE_START = "HTTP/1.";
+    /** The headers that the protocol defines. Others, as Date or Via, may differ between a response and its copy. */
+    private static final List<String> PROTOCOL_HEADERS = List.of("X-Load-Report", "Wait-Ms", "Slots-Taken");
+
     private final List<String> reportNames;
 
     /** reportNames: the names of the values in a load report, in the order of the settings. */
@@ -56,6 +67,43 @@
         };
     }
 
+    /** The fingerprint of a whole response. */
+    static ResponseFingerprint fingerprint(FullHttpResponse response) {
+        int bodyHash = response.content().isReadable() ? hash(response.content().nioBuffer()) : 0;
+        StringBuilder content = new StringBuilder().append(response.status().code()).append('\n').append(bodyHash).append('\n');
+        for (String name : PROTOCOL_HEADERS) {
+            content.append(response.headers().getAll(name)).append('\n');
+        }
+        return new ResponseFingerprint(hash(ByteBuffer.wrap(content.toString().getBytes(StandardCharsets.ISO_8859_1))), bodyHash,
+                response.status().code() == 200, isMerged(response));
+    }
+
+    private static int hash(ByteBuffer bytes) {
+        CRC32 crc = new CRC32();
+        crc.update(bytes);
+        return (int) crc.getValue();
+    }
+
+    /** Whether another response begins within this one, or may begin at the end of its body. */
+    private static boolean isMerged(FullHttpResponse response) {
+        for (Map.Entry<String, String> header : response.headers()) {
+            if (header.getKey().contains(RESPONSE_START) || header.getValue().contains(RESPONSE_START)) {
+                return true;
+            }
+        }
+        String text = response.content().toString(StandardCharsets.ISO_8859_1);
+        return response.status().reasonPhrase().contains(RESPONSE_START) || text.contains(RESPONSE_START) || endsInResponseStart(text);
+    }
+
+    private static boolean endsInResponseStart(String text) {
+        for (int length = 1; length < RESPONSE_START.length(); length++) {
+            if (text.endsWith(RESPONSE_START.substring(0, length))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static long parseRetryAfterMs(String ms) {
         try {
             return ms == null ? 0 : Math.max(0, Math.min(MAX_RETRY_AFTER_MS, (long) Math.ceil(Double.parseDouble(ms))));
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -27,11 +28,15 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import wrenreach.ConnectionReusePolicy;
 import wrenreach.api.Outcome;
 import wrenreach.held.HeldMail;
 import wrenreach.log.LogEvent;
+import wrenreach.state.ConnectionHistory;
 import wrenreach.state.DeliveryAttempt;
 import wrenreach.state.Endpoint;
+import wrenreach.state.ResponseFingerprint;
+import wrenreach.state.ResponseVariety;
 import wrenreach.state.Route;
 
 /**
@@ -74,6 +79,7 @@
 
     /** The address of an endpoint and its idle connections, the most recently used last. */
     private static final class ConnectionPool {
+        final ResponseVariety variety = new ResponseVariety();
         InetSocketAddress address;
         boolean removed;
         final Deque<Connection> idleConnections = new ArrayDeque<>(4);
@@ -105,6 +111,9 @@
     private final Deque<Connection> idleConnections = new ArrayDeque<>();
     private List<PendingCall> stagedCalls = new ArrayList<>();
     private final List<PendingCall> preparedCalls = new ArrayList<>();
+    private final ConnectionReusePolicy reusePolicy;
+    private final StrayResponses strayResponses = new StrayResponses();
+    private int connectionsOpened;
     private int unreadableResponses;
     private long nextLogAt;
 
@@ -114,10 +123,12 @@
      * @param idleTimeout 0: idle connections are not closed by time
      * @param tcpConnectTimeout 0: the default of 30 s
      * @param maxIdleConnections idle connections kept open, over all endpoints
+     * @param reusePolicy decides which connections carry another call, and which responses count
      */
     public Calls(EventLoop loop, ChannelFactory<? extends Channel> channelFactory, Host host, List<String> reportNames,
-                 long idleTimeout, long tcpConnectTimeout, int maxIdleConnections) {
+                 long idleTimeout, long tcpConnectTimeout, int maxIdleConnections, ConnectionReusePolicy reusePolicy) {
         this.loop = loop;
+        this.reusePolicy = reusePolicy;
         this.host = host;
         this.codec = new CallCodec(reportNames);
         this.idleTimeoutUs = idleTimeout > 0 ? (long) (idleTimeout * IDLE_TIMEOUT_FACTOR) : Long.MAX_VALUE;
@@ -289,9 +300,13 @@
                 : unsent ? new Outcome.NotSent(false) : new Outcome.ConnectFailed());
     }
 
-    /** Whether the response began with status 200, which holds whatever follows it: without this a relayed mail would be sent again. */
-    private static boolean isRelayed(PendingCall call) {
-        return call.connection != null && call.connection.statusDecoder.status() == 200;
+    /**
+     * Whether the response began with status 200, which holds whatever follows it if it is certain to be this call's: without this a
+     * relayed mail would be sent again.
+     */
+    private boolean isRelayed(PendingCall call) {
+        return call.connection != null && call.connection.statusDecoder.status() == 200
+                && reusePolicy.statusLineCounts(call.connection.history);
     }
 
     /** Stops waiting for an attempt; its outcome is reported by a later task of the loop. */
@@ -369,7 +384,9 @@
     private final class Connection extends SimpleChannelInboundHandler<Object> {
         final ConnectionPool pool;
         final InetSocketAddress address;
-        final ResponseStatusDecoder statusDecoder = new ResponseStatusDecoder(this::startBodyTimeout);
+        final int number = ++connectionsOpened;
+        final ConnectionHistory history = new ConnectionHistory();
+        final ResponseStatusDecoder statusDecoder = new ResponseStatusDecoder(this::finalResponseBegins);
         Channel channel;
         PendingCall call;
         boolean written;
@@ -377,6 +394,7 @@
         private HttpResponseDecoder decoder;
         private DelayedTask bodyTimeout;
         private Future<?> idleTimeout;
+        private String lastMessage = "";
 
         Connection(ConnectionPool pool) {
             this.pool = pool;
@@ -395,7 +413,10 @@
             statusDecoder.expectResponse();
         }
 
-        private void startBodyTimeout() {
+        private void finalResponseBegins() {
+            if (!written) {
+                throw new CorruptedFrameException("a response before its request was written");
+            }
             bodyTimeout = DelayedTask.schedule(loop, RESPONSE_BODY_TIMEOUT_MS * 1000, () -> closeUnreadable("it does not end"));
         }
 
@@ -405,27 +426,68 @@
             } else if (response.decoderResult().isFailure()) {
                 closeUnreadable(response.decoderResult().cause().getMessage());
             } else if (call != null) {
-                keepAlive = HttpUtil.isKeepAlive(response);
-                CallResult result = codec.decode(response);
-                if (!result.readable()) {
-                    logUnreadable(pool, "status " + response.status().code());
-                }
-                end(call, result);
-                statusDecoder.responseEnded();
-                bodyTimeout.cancel();
-                // Removing the decoder passes on the bytes after the response, if any, and those close the connection.
-                channel.pipeline().remove(decoder);
-                becomeIdle();
+                responseReceived(response);
             }
         }
 
+        private void responseReceived(FullHttpResponse response) {
+            ResponseFingerprint fingerprint = CallCodec.fingerprint(response);
+            if (!reusePolicy.counts(history, fingerprint)) {
+                closeStray(fingerprint.merged() ? StrayResponses.Kind.MERGED : StrayResponses.Kind.REPEATED,
+                        "status " + response.status().code(), reusePolicy.provesStray(fingerprint));
+                end(call, new Outcome.ConnectionLost());
+                return;
+            }
+            CallResult result = codec.decode(response);
+            if (!result.readable()) {
+                logUnreadable(pool, "status " + response.status().code());
+            }
+            keepAlive = HttpUtil.isKeepAlive(response) && result.readable();
+            reusePolicy.responseCounted(pool.variety, history, fingerprint);
+            lastMessage = call.heldMail.submission.id();
+            end(call, result);
+            statusDecoder.responseEnded();
+            bodyTimeout.cancel();
+            // Removing the decoder passes on the bytes after the response, if any, and those close the connection.
+            channel.pipeline().remove(decoder);
+            becomeIdle();
+        }
+
         /** Closes a connection after a malformed response. A response counts only whole, unless its status line says 200. */
         private void closeUnreadable(String why) {
             logUnreadable(pool, why);
-            close();
+            if (call == null) {
+                closeStray(StrayResponses.Kind.IDLE, why, true);
+            } else if (!written) {
+                closeStray(StrayResponses.Kind.EARLY, why, true);
+            } else if (history.size() > 0) {
+                closeStray(StrayResponses.Kind.UNREADABLE, why, false);
+            } else {
+                close();
+            }
             endBrokenCall();
         }
 
+        /**
+         * Closes the connection on which a response came that belongs to no call, or may belong to none.
+         *
+         * @param proven whether it is certain, so that connections to the address are not reused for some time
+         */
+        private void closeStray(StrayResponses.Kind kind, String detail, boolean proven) {
+            strayResponses.found(kind, address, number, lastMessage, call == null ? "" : call.heldMail.submission.id(), detail, host.iterationTime());
+            close();
+            if (proven) {
+                reusePolicy.strayResponse(address, host.iterationTime());
+                new ArrayList<>(pool.idleConnections).forEach(Connection::closeIfNotReusable);
+            }
+        }
+
+        private void closeIfNotReusable() {
+            if (!reusePolicy.mayReuse(address, pool.variety, history, host.iterationTime())) {
+                close();
+            }
+        }
+
         private void endBrokenCall() {
             if (call != null) {
                 end(call, isRelayed(call) ? new Outcome.Delivered() : written ? new Outcome.ConnectionLost()
@@ -436,7 +498,8 @@
         /** The connection carries no call any more: it is pooled, or closed where it may not be reused. */
         void becomeIdle() {
             call = null;
-            if (!keepAlive || !channel.isActive() || maxIdleConnections == 0 || pool.removed || hasFormerAddress()) {
+            if (!keepAlive || !channel.isActive() || maxIdleConnections == 0 || pool.removed || hasFormerAddress()
+                    || !reusePolicy.mayReuse(address, pool.variety, history, host.iterationTime())) {
                 close();
                 return;
             }
--- a/node/src/main/java/wrenreach/net/ResponseStatusDecoder.java
+++ b/node/src/main/java/wrenreach/net/ResponseStatusDecoder.java
@@ -27,7 +27,7 @@
     private int bytesSeen;
     private int status;
 
-    /** onStatusLine: run when the status line of a final response has come. */
+    /** onStatusLine: run when the status line of a final response has come; may throw CorruptedFrameException if none is due yet. */
     ResponseStatusDecoder(Runnable onStatusLine) {
         this.onStatusLine = onStatusLine;
     }
@@ -50,6 +50,15 @@
         return status;
     }
 
+    private void beginResponse(ByteBuf in) {
+        try {
+            onStatusLine.run();
+        } catch (CorruptedFrameException e) {
+            in.skipBytes(in.readableBytes());
+            throw e;
+        }
+    }
+
     @Override protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (state == State.PASS_THROUGH) {
             out.add(in.readRetainedSlice(in.readableBytes()));
@@ -85,9 +94,9 @@
             in.skipBytes(length + 1);
             state = State.INTERIM_HEADERS;
         } else {
+            beginResponse(in);
             status = code;
             state = State.PASS_THROUGH;
-            onStatusLine.run();
             out.add(in.readRetainedSlice(in.readableBytes()));
         }
     }
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import wrenreach.ConnectionReusePolicy;
 import wrenreach.api.Action;
 import wrenreach.api.Dispatcher;
 import wrenreach.api.EndReason;
@@ -149,8 +150,8 @@
         journal.attach(loop, () -> finish(1));
         settings = config.settings();
         // A client may ask for a longer lifetime than its class has, so a deadline may lie several lifetimes ahead.
-        clock = Clock.start(loop.ticker(), sockets.clocks(), journal,
-                MAX_DEADLINE_LIFETIMES * settings.classes().stream().mapToLong(Settings.QueueClass::lifetime).max().orElse(0));
+        long maxLifetime = settings.classes().stream().mapToLong(Settings.QueueClass::lifetime).max().orElse(0);
+        clock = Clock.start(loop.ticker(), sockets.clocks(), journal, MAX_DEADLINE_LIFETIMES * maxLifetime);
         this.dispatcher = dispatcherFactory.apply(settings);
         folderOutage = new FolderOutage(loop, () -> journal.write(() -> { }), this::folderRecovered);
         heldMails = new HeldMails(settings, config.queueClasses(), config.tenants(), directory);
@@ -161,7 +162,7 @@
         submissionServer = new SubmissionServer(loopGroup, sockets.serverChannelFactory(), this,
                 (int) Math.min(affordableClients, config.descriptors() - usedDescriptors));
         calls = new Calls(loop, sockets.clientChannelFactory(), this, config.reportNames(), settings.connectionIdleTimeout(),
-                settings.tcpConnectTimeout(), maxIdle);
+                settings.tcpConnectTimeout(), maxIdle, new ConnectionReusePolicy(maxLifetime));
         notices = new Notices(loop, sockets.clientChannelFactory(), config.discovery(), this::noticeAcknowledged,
                 settings.seed());
         String discoveryAddress = Addresses.format(config.discovery());
--- a/node/src/test/java/wrenreach/net/CallsTest.java
+++ b/node/src/test/java/wrenreach/net/CallsTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -18,12 +19,17 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import wrenreach.ConnectionReusePolicy;
 import wrenreach.api.Outcome;
 import wrenreach.held.HeldMail;
 import wrenreach.held.Submission;
@@ -39,7 +45,8 @@
     private static final long SECOND_US = 1_000_000;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final Calls calls = new Calls(loop, NioSocketChannel::new, this, List.of(), 60 * SECOND_US, SECOND_US, 4);
+    private final Calls calls = new Calls(loop, NioSocketChannel::new, this, List.of(), 60 * SECOND_US, SECOND_US, 4,
+            new ConnectionReusePolicy(SECOND_US));
     private final Destination destination = new Destination(1);
     private final Endpoint endpoint = new Endpoint(1, destination, 0, 0);
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
@@ -123,27 +130,187 @@
         return outcomes.poll(20, TimeUnit.SECONDS);
     }
 
-    @Test void connectionIsReusedForTheNextCall() throws Exception {
+    private static void deliver(Socket socket, String body) throws IOException {
+        write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    /** A connection whose receiver's responses have been seen to differ, so that it carries further calls; its last response had the body "b". */
+    private Socket reusableConnection() throws Exception {
         send(30 * SECOND_US);
-        try (Socket socket = accept()) {
+        try (Socket first = accept()) {
+            readRequest(first);
+            deliver(first, "a");
+            assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
+        }
+        send(30 * SECOND_US);
+        Socket second = accept();
+        readRequest(second);
+        deliver(second, "b");
+        assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
+        return second;
+    }
+
+    /** Sends the next call on an open connection, and reads its request. */
+    private void sendNext(Socket socket) throws Exception {
+        assertThat(send(30 * SECOND_US).reusedConnection).isTrue();
+        readRequest(socket);
+    }
+
+    private void assertNextCallGetsANewConnection() throws Exception {
+        assertThat(send(30 * SECOND_US).reusedConnection).isFalse();
+        try (Socket fresh = accept()) {
+            readRequest(fresh);
+            answer(fresh, "HTTP/1.1 200 OK");
+            assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
+        }
+    }
+
+    @Test void connectionIsReusedWhereResponsesDiffer() throws Exception {
+        try (Socket socket = reusableConnection()) {
             for (int i = 0; i < 2; i++) {
+                sendNext(socket);
+                deliver(socket, "c" + i);
+                assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
+            }
+            sendNext(socket);
+            answer(socket, "HTTP/1.1 503 Full");
+            assertThat(nextOutcome()).isEqualTo(new Outcome.Rejected(0));
+            sendNext(socket);
+        }
+    }
+
+    /** Guards against a stale response that can't be told from a true one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "ok"})
+    void connectionIsNotReusedWhereResponsesAreAlike(String body) throws Exception {
+        for (int i = 0; i < 4; i++) {
+            assertThat(send(30 * SECOND_US).reusedConnection).isFalse();
+            try (Socket socket = accept()) {
                 readRequest(socket);
-                answer(socket, "HTTP/1.1 200 OK");
+                deliver(socket, body);
                 assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
-                assertThat(send(30 * SECOND_US).reusedConnection).isTrue();
+                assertThat(socket.getInputStream().read()).isEqualTo(-1);
             }
         }
     }
 
-    /** The response to the previous call says nothing of a call that was never written: taken for relayed, its mail would be lost. */
+    /** Guards against a copy of an earlier response that ends the next call: its message may have run, and was neither delivered nor refused. */
     @ParameterizedTest
-    @ValueSource(strings = {"cut", "revoked", "broken"})
-    void unsentCallOnReusedConnectionIsNotTakenForRelayed(String ending) throws Exception {
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb", "HTTP/1.1 200 Fine\r\nVia: 1.1 proxy\r\nContent-Length: 1\r\nAge: 3\r\n\r\nb",
+        "HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nb", "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"})
+    void copyOfAnEarlierResponseEndsNoOtherCall(String copy) throws Exception {
+        try (Socket socket = reusableConnection()) {
+            sendNext(socket);
+            write(socket, copy);
+            assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectionLost());
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+        assertNextCallGetsANewConnection();
+    }
+
+    /** Guards against a copy of a refusal that is taken for a refusal of a message that is being served. */
+    @ParameterizedTest
+    @ValueSource(strings = {"503 Full", "429 Wait\r\nWait-Ms: 30", "500 Error", "504 Over", "410 Gone"})
+    void copyOfAnEarlierRefusalProvesNothing(String refusal) throws Exception {
+        try (Socket socket = reusableConnection()) {
+            sendNext(socket);
+            answer(socket, "HTTP/1.1 " + refusal);
+            assertThat(nextOutcome()).isNotEqualTo(new Outcome.ConnectionLost());
+            TimeUnit.MILLISECONDS.sleep(50);
+            sendNext(socket);
+            answer(socket, "HTTP/1.1 " + refusal);
+            assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectionLost());
+        }
+    }
+
+    private static final String EARLIER_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nunique123";
+
+    static Stream<Arguments> cutsOfAResponse() {
+        return IntStream.range(1, EARLIER_RESPONSE.length()).boxed().flatMap(cut -> Stream.of(Arguments.of(cut, true), Arguments.of(cut, false)));
+    }
+
+    /** Guards against part of an earlier response that merges with the response behind it: a refused call was taken for delivered. */
+    @ParameterizedTest
+    @MethodSource("cutsOfAResponse")
+    void halfACopyAndTheTrueResponseAreNeverTakenForDelivered(int cut, boolean inPieces) throws Exception {
+        try (Socket socket = reusableConnection()) {
+            sendNext(socket);
+            write(socket, EARLIER_RESPONSE);
+            assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
+            sendNext(socket);
+            String merged = EARLIER_RESPONSE.substring(0, cut) + "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+            for (String piece : inPieces ? merged.split("(?<=[\\s\\S])") : new String[] {merged}) {
+                writeIfOpen(socket, piece);
+            }
+            assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectionLost());
+        }
+    }
+
+    /** The node may have closed the connection by then. */
+    private static void writeIfOpen(Socket socket, String text) throws IOException {
+        try {
+            write(socket, text);
+        } catch (SocketException e) {
+            assertThat(e).hasMessageMatching("(?i).*(broken pipe|reset).*");
+        }
+    }
+
+    /** Guards against a status line of 200 that belongs to an earlier call: on a connection that carried others, only a whole response counts. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nb", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"})
+    void startOfAResponseOnAUsedConnectionDoesNotMeanDelivered(String text) throws Exception {
+        try (Socket socket = reusableConnection()) {
+            sendNext(socket);
+            write(socket, text);
+            assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectionLost());
+        }
+    }
+
+    /** Guards against a response that is older than its request: a call whose last byte is not written never ran. */
+    @Test void responseBeforeItsRequestIsWrittenEndsNoCall() throws Exception {
+        blocked = true;
         send(30 * SECOND_US);
         try (Socket socket = accept()) {
-            readRequest(socket);
             answer(socket, "HTTP/1.1 200 OK");
+            assertThat(nextOutcome().neverRan()).isTrue();
+        }
+        blocked = false;
+        assertNextCallGetsANewConnection();
+    }
+
+    /** Guards against reuse after a stray response: what came once from an address may come again, also to connections that are idle or in use. */
+    @Test void strayResponseEndsTheReuseOfConnectionsToItsAddress() throws Exception {
+        try (Socket socket = reusableConnection()) {
+            sendNext(socket);
+            send(30 * SECOND_US);
+            try (Socket idle = accept()) {
+                readRequest(idle);
+                deliver(idle, "c");
+                assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
+                deliver(idle, "c");
+                assertThat(idle.getInputStream().read()).isEqualTo(-1);
+            }
+            deliver(socket, "d");
             assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+        loop.submit(() -> calls.remove(endpoint)).get();
+        loop.submit(() -> calls.setAddress(endpoint, (InetSocketAddress) receiver.getLocalSocketAddress())).get();
+        for (String body : List.of("e", "f", "g")) {
+            assertThat(send(30 * SECOND_US).reusedConnection).as("after a change of the endpoint list").isFalse();
+            try (Socket fresh = accept()) {
+                readRequest(fresh);
+                deliver(fresh, body);
+                assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
+            }
+        }
+    }
+
+    /** The response to the previous call says nothing of a call that was never written: taken for relayed, its mail would be lost. */
+    @ParameterizedTest
+    @ValueSource(strings = {"cut", "revoked", "broken"})
+    void unsentCallOnReusedConnectionIsNotTakenForRelayed(String ending) throws Exception {
+        try (Socket socket = reusableConnection()) {
             blocked = true;
             DeliveryAttempt second = send(ending.equals("cut") ? SECOND_US / 10 : 30 * SECOND_US);
             assertThat(second.reusedConnection).isTrue();
@@ -351,11 +518,13 @@
         }
     }
 
-    /**
-     * Closing a connection fails its unfinished write at once. The decisions must not hear of it within cancel, since calls are
-     * cancelled while the actions of the decisions are carried out.
-     */
-    @Test void cancelledCallWithAnUnfinishedWriteIsReportedInALaterTask() throws Exception {
+    /** Something to do with a call of which only the first bytes are written. */
+    private interface UnfinishedCall {
+        void check(Calls narrowCalls, DeliveryAttempt attempt, Socket socket) throws Exception;
+    }
+
+    /** Begins a call whose body does not fit into the buffers of its connection. */
+    private void withUnfinishedWrite(UnfinishedCall then) throws Exception {
         try (ServerSocket narrowReceiver = new ServerSocket()) {
             narrowReceiver.setReceiveBufferSize(1024);
             narrowReceiver.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -363,7 +532,7 @@
                 NioSocketChannel channel = new NioSocketChannel();
                 channel.config().setSendBufferSize(1024);
                 return channel;
-            }, this, List.of(), 60 * SECOND_US, SECOND_US, 4);
+            }, this, List.of(), 60 * SECOND_US, SECOND_US, 4, new ConnectionReusePolicy(SECOND_US));
             HeldMail held = new HeldMail(new Submission("a", "", "c", "t", "", 1, new byte[64 * 1024]), 0);
             held.mail = new Mail(1, destination, null, 0, 0, iterationTime(), iterationTime() + 60 * SECOND_US);
             DeliveryAttempt attempt = new DeliveryAttempt(held.mail, endpoint, iterationTime(), iterationTime() + 30 * SECOND_US, new Call(iterationTime()));
@@ -378,15 +547,33 @@
                         narrowCalls.flush(iterationTime());
                     }).get();
                 }
-                assertThat(loop.submit(() -> {
-                    narrowCalls.cancel(attempt);
-                    return outcomes.size();
-                }).get()).as("outcomes reported before cancel has returned").isZero();
-                assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectFailed());
+                then.check(narrowCalls, attempt, socket);
             }
         }
     }
 
+    /**
+     * Closing a connection fails its unfinished write at once. The decisions must not hear of it within cancel, since calls are
+     * cancelled while the actions of the decisions are carried out.
+     */
+    @Test void cancelledCallWithAnUnfinishedWriteIsReportedInALaterTask() throws Exception {
+        withUnfinishedWrite((narrowCalls, attempt, socket) -> {
+            assertThat(loop.submit(() -> {
+                narrowCalls.cancel(attempt);
+                return outcomes.size();
+            }).get()).as("outcomes reported before cancel has returned").isZero();
+            assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectFailed());
+        });
+    }
+
+    /** Guards against a response that is taken for the answer to a request which the receiver has not got whole. */
+    @Test void responseDuringTheWriteOfItsRequestEndsNoCall() throws Exception {
+        withUnfinishedWrite((narrowCalls, attempt, socket) -> {
+            answer(socket, "HTTP/1.1 200 OK");
+            assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectFailed());
+        });
+    }
+
     @Test void cancelledCallClosesItsConnection() throws Exception {
         DeliveryAttempt attempt = send(30 * SECOND_US);
         try (Socket socket = accept()) {
--- a/node/src/test/java/wrenreach/node/EndpointsInUseTest.java
+++ b/node/src/test/java/wrenreach/node/EndpointsInUseTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import wrenreach.ConnectionReusePolicy;
 import wrenreach.DeliveryDispatcher;
 import wrenreach.api.Action;
 import wrenreach.api.Outcome;
@@ -45,7 +46,7 @@
     @BeforeEach void setUp() throws Exception {
         Config config = Config.read(Path.of("deploy/sample.json"), Map.of());
         dispatcher = new DeliveryDispatcher(config.settings());
-        Calls calls = new Calls(loopGroup.next(), NioSocketChannel::new, this, List.of(), 0, 1000, 4);
+        Calls calls = new Calls(loopGroup.next(), NioSocketChannel::new, this, List.of(), 0, 1000, 4, new ConnectionReusePolicy(1));
         inUse = new EndpointsInUse(config, table, directory, dispatcher, calls, actions::addAll, MAX_IN_USE, 1);
     }
 
