Each post of notices has a connection of its own, so that a 204 confirms no other

A message whose notice the platform had refused was over for the node: no notice, and later messages of its key were sent.

Cause: Notices took the next 204 on its kept connection for the answer to the post in flight. A 204 has no content, so nothing can tell it from a copy.

Change: a connection for each post; a 204 counts only once the post is written, on that connection, once. Interim responses (1xx) are dropped by InterimResponseFilter; before, one ahead of the 204 failed the post. The platform is on the node's own machine or near it and a post carries up to 200 endings, so the connections are few.

Test replaced: brokenIdleConnectionIsReplacedAtOnce, as no connection is idle any more; noticeAfterAClosedConnectionIsPostedAtOnce asks that a post waits for no backoff, whatever became of the connection before.

--- a/node/src/main/java/wrenreach/net/Notices.java
+++ b/node/src/main/java/wrenreach/net/Notices.java
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -33,7 +32,10 @@
 import wrenreach.held.HeldMail;
 import wrenreach.log.LogEvent;
 
-/** Posts the endings of undelivered mails to the platform, and repeats each until the platform acknowledges it. Owned by the event loop. */
+/**
+ * Posts the endings of undelivered mails to the platform, and repeats each until the platform acknowledges it. Owned by the event loop.
+ * Each post has a connection of its own: a 204 has nothing in it that tells it from the copy of an earlier one.
+ */
 public final class Notices {
     private static final System.Logger LOG = System.getLogger(Notices.class.getName());
     private static final JsonFactory JSON = new JsonFactory();
@@ -60,8 +62,8 @@
     private Channel channel;
     private boolean connectPending;
     private boolean paused;
-    /** Whether a response has come on this connection: if it breaks, that says nothing of the platform. */
-    private boolean connectionProven;
+    /** Whether the post in flight is written whole. */
+    private boolean written;
     private boolean failing;
     private DelayedTask responseTimeout;
 
@@ -102,18 +104,20 @@
         if (paused || unacknowledged.isEmpty() || !inFlight.isEmpty() || connectPending) {
             return;
         }
-        if (channel == null || !channel.isActive()) {
-            openConnection();
-            return;
-        }
+        openConnection();
+    }
+
+    private void post() {
         inFlight = unacknowledged.stream().limit(MAX_BATCH_SIZE).toList();
+        written = false;
         DefaultFullHttpRequest post = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v2/finals",
                 Unpooled.wrappedBuffer(encode(inFlight)));
         post.headers().set(HttpHeaderNames.HOST, Addresses.format(address))
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson")
                 .set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(post.content().readableBytes()));
         responseTimeout = DelayedTask.schedule(loop, 1000 * backoff.scaledTimeout(RESPONSE_TIMEOUT_MS, MAX_RESPONSE_TIMEOUT_MS), () -> postFailed("no answer"));
-        channel.writeAndFlush(post);
+        Channel current = channel;
+        channel.writeAndFlush(post).addListener(done -> written |= done.isSuccess() && current == channel);
     }
 
     /** Posts to another address from now on; a post to the old one without a response is repeated there. */
@@ -163,18 +167,19 @@
         InetSocketAddress target = address;
         connector.open(target, new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel opened) {
-                opened.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), new ResponseHandler());
+                opened.pipeline().addLast(new HttpClientCodec(), new InterimResponseFilter(), new HttpObjectAggregator(MAX_RESPONSE_BYTES),
+                        new ResponseHandler());
             }
         }, new Connector.Listener() {
             @Override public void connected(Channel opened) {
                 connectPending = false;
-                if (target.equals(address)) {
+                if (target.equals(address) && !paused && !unacknowledged.isEmpty()) {
                     channel = opened;
-                    connectionProven = false;
+                    post();
                 } else {
                     opened.close();
+                    flush();
                 }
-                flush();
             }
 
             @Override public void failed(boolean local) {
@@ -200,45 +205,32 @@
     }
 
     private void responseReceived(FullHttpResponse response) {
-        if (response.status().code() != 204) {
-            postFailed("answer " + response.status().code());
+        if (response.status().code() != 204 || !written) {
+            postFailed(written ? "answer " + response.status().code() : "an answer before the post was written");
             return;
         }
-        responseTimeout.cancel();
         backoff.reset();
-        connectionProven = true;
         if (failing) {
             failing = false;
             LogEvent.log(LOG, Level.INFO, "notices.answered", "notices: answered again");
         }
         List<HeldMail> acknowledged = new ArrayList<>(inFlight);
-        inFlight = List.of();
+        dropConnection();
         acknowledged.forEach(unacknowledged::remove);
         acknowledged.forEach(onAcknowledged);
-        if (!HttpUtil.isKeepAlive(response)) {
-            channel.close();
-            channel = null;
-        }
         flush();
     }
 
     private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (ctx.channel() == channel && !inFlight.isEmpty()) {
+            if (ctx.channel() == channel) {
                 responseReceived(response);
             }
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
-                channel = null;
-                if (!inFlight.isEmpty() && connectionProven) {
-                    // The connection was closed while it was idle: a new one is opened at once, as the endings have no time for a backoff.
-                    dropConnection();
-                    flush();
-                } else if (!inFlight.isEmpty()) {
-                    postFailed("connection closed");
-                }
+                postFailed("connection closed");
             }
         }
 
--- a/node/src/test/java/wrenreach/net/NoticesTest.java
+++ b/node/src/test/java/wrenreach/net/NoticesTest.java
@@ -11,13 +11,17 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import wrenreach.held.Ending;
 import wrenreach.held.HeldMail;
 import wrenreach.held.Submission;
@@ -69,21 +73,70 @@
         socket.getOutputStream().write("HTTP/1.1 204 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
     }
 
-    /** A connection may have been closed while idle. Its endings leave no time for a backoff, so a new one is opened at once. */
-    @Test void brokenIdleConnectionIsReplacedAtOnce() throws Exception {
-        Notices notices = notices(NEVER_MS);
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void assertAcknowledged(String id) throws InterruptedException {
+        assertThat(acknowledged.poll(20, TimeUnit.SECONDS).submission.id()).isEqualTo(id);
+    }
+
+    /** Guards against a 204 that confirms another post than its own: the refused one was never posted again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 204 OK\r\n\r\n", "HTTP/1.1 204 OK\r\n\r\nHTTP/1.1 204 OK\r\n\r\n"})
+    void copyOfAConfirmationConfirmsNoOtherNotice(String copy) throws Exception {
+        Notices notices = notices(2);
         sendNotice(notices, "a");
         try (Socket first = platform.accept()) {
             readNotice(first, "a");
             answer(first);
-            assertThat(acknowledged.poll(20, TimeUnit.SECONDS).submission.id()).isEqualTo("a");
+            assertAcknowledged("a");
             sendNotice(notices, "b");
-            readNotice(first, "b");
+            try (Socket second = platform.accept()) {
+                readNotice(second, "b");
+                writeIfOpen(first, copy);
+                write(second, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n" + copy);
+                try (Socket third = platform.accept()) {
+                    readNotice(third, "b");
+                    assertThat(acknowledged).isEmpty();
+                    answer(third);
+                    assertAcknowledged("b");
+                }
+            }
+        }
+    }
+
+    /** The node has closed the connection by then, or does it now. */
+    private static void writeIfOpen(Socket socket, String text) throws IOException {
+        try {
+            write(socket, text);
+        } catch (SocketException e) {
+            assertThat(e).hasMessageMatching("(?i).*(broken pipe|reset).*");
+        }
+    }
+
+    /** Endings leave no time for a backoff: a post goes out at once, whatever became of the connection before. */
+    @Test void noticeAfterAClosedConnectionIsPostedAtOnce() throws Exception {
+        Notices notices = notices(NEVER_MS);
+        for (String id : List.of("a", "b", "c")) {
+            sendNotice(notices, id);
+            try (Socket socket = platform.accept()) {
+                readNotice(socket, id);
+                answer(socket);
+                assertAcknowledged(id);
+            }
         }
-        try (Socket second = platform.accept()) {
-            readNotice(second, "b");
-            answer(second);
-            assertThat(acknowledged.poll(20, TimeUnit.SECONDS).submission.id()).isEqualTo("b");
+    }
+
+    /** Interim responses ahead of the answer say nothing of the post. */
+    @Test void interimResponsesConfirmAndRefuseNothing() throws Exception {
+        Notices notices = notices(NEVER_MS);
+        sendNotice(notices, "a");
+        try (Socket socket = platform.accept()) {
+            readNotice(socket, "a");
+            write(socket, "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
+            answer(socket);
+            assertAcknowledged("a");
         }
     }
 
