An interim response ends no request for lists and is no refusal

Cause: Discovery took any status but 200 for a refusal, 103 and 100 included. The watch was closed, and refuses() told the starting node that there is no list to wait for, so that it sends by the old list at once: to endpoints that drain, if their drain came while it was down.

Change: InterimResponseFilter ahead of both handlers.

--- a/node/src/main/java/wrenreach/net/Discovery.java
+++ b/node/src/main/java/wrenreach/net/Discovery.java
@@ -138,7 +138,7 @@
         }
         request("/api/targets?stream=1&index=" + index, true, new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new WatchBodyDecoder(), new ListFrameDecoder(), new WatchHandler());
+                channel.pipeline().addLast(new HttpClientCodec(), new InterimResponseFilter(), new WatchBodyDecoder(), new ListFrameDecoder(), new WatchHandler());
             }
         });
     }
@@ -151,7 +151,7 @@
     private void requestSnapshot(boolean thenFollow) {
         request("/api/targets", thenFollow, new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new SnapshotHandler(thenFollow));
+                channel.pipeline().addLast(new HttpClientCodec(), new InterimResponseFilter(), new SnapshotHandler(thenFollow));
             }
         });
     }
--- a/node/src/test/java/wrenreach/net/DiscoveryTest.java
+++ b/node/src/test/java/wrenreach/net/DiscoveryTest.java
@@ -147,6 +147,45 @@
         }
     }
 
+    /** Guards against an interim response that counts as a refusal: the node went on as if there were no list to wait for. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void interimResponsesNeitherEndNorRefuseARequest(boolean watched) throws Exception {
+        follow(watched, NEVER_MS, NEVER_MS);
+        try (Socket socket = acceptRequest(watched ? "/api/targets?stream=1&index=3" : "/api/targets")) {
+            write(socket, "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
+            beginResponse(socket);
+            writeChunk(socket, FIRST_LIST);
+            write(socket, watched ? "" : "0\r\n\r\n");
+            assertThat(nextList().index()).isEqualTo(5);
+            assertThat(loop.submit(discovery::refuses).get()).isFalse();
+        }
+    }
+
+    /** Guards against a copy of an earlier list, or of a whole response, that undoes or changes a later list. */
+    @ParameterizedTest
+    @ValueSource(strings = {"chunk of 5", "chunk of 7", "response", "half"})
+    void copyInAWatchChangesNoList(String copy) throws Exception {
+        follow(true, NEVER_MS, 2);
+        try (Socket watch = acceptRequest("/api/targets?stream=1&index=3")) {
+            beginResponse(watch);
+            String later = "{\"index\":7,\"snapshot\":false,\"endpoints\":[]}\n";
+            writeChunk(watch, FIRST_LIST + later);
+            assertThat(nextList().index()).isEqualTo(5);
+            assertThat(nextList().index()).isEqualTo(7);
+            switch (copy) {
+                case "chunk of 5" -> writeChunk(watch, FIRST_LIST);
+                case "chunk of 7" -> writeChunk(watch, later + "nonsense");
+                case "response" -> write(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                default -> writeChunk(watch, FIRST_LIST.substring(0, 20) + later);
+            }
+            try (Socket next = acceptRequest(copy.equals("chunk of 5") ? "/api/targets" : "/api/targets?stream=1&index=7")) {
+                assertThat(lists.stream().mapToLong(ListUpdate::index)).allMatch(index -> index == 7);
+                assertThat(watch.getInputStream().read()).isEqualTo(-1);
+            }
+        }
+    }
+
     /** An unreadable snapshot that is served at once, again and again, must not use up the CPU. */
     @Test void unreadableSnapshotIsRequestedAgainOnlyAfterABackoff() throws Exception {
         follow(false, NEVER_MS, NEVER_MS);
