--- a/lab/src/main/java/wrenreach/lab/Clients.java
+++ b/lab/src/main/java/wrenreach/lab/Clients.java
@@ -47,11 +47,16 @@
     private final Network.Party party = new Network.Party("clients");
     private final Map<String, Deque<Mail>> queuesByKey = new HashMap<>();
     private final Map<String, Long> diedAt = new HashMap<>();
+    /** Idle connections to each node, where they are kept. */
+    private final Map<String, Deque<ClientConnection>> idleConnections = new HashMap<>();
+    private final boolean keepsConnections;
     private int mailCount;
     private int port = 1024;
 
-    Clients(World world, int destinations, List<Scenario.QueueClass> classes) {
+    /** keepsConnections: whether they submit on the connections that they have for as long as these stay open, or each mail on its own. */
+    Clients(World world, int destinations, List<Scenario.QueueClass> classes, boolean keepsConnections) {
         this.world = world;
+        this.keepsConnections = keepsConnections;
         this.destinations = destinations;
         this.classes = classes;
         shareSum = classes.stream().mapToInt(Scenario.QueueClass::share).sum();
@@ -126,19 +131,33 @@
         for (String word : List.of("ENQUEUE", mail.key, id, fields, "body of " + id)) {
             request.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
         }
-        PendingRequest pending = new PendingRequest(mail, id, node);
+        PendingRequest pending = new PendingRequest(mail, id, node, request.toString());
         world.scheduleIn(REPLY_TIMEOUT_NS, pending::timedOut);
-        world.network.connect(party, new InetSocketAddress("127.0.0.1", 1024 + port++ % 60_000), node.address,
-                new Network.ConnectHandler() {
+        ClientConnection idle = idleConnections.getOrDefault(node.name, new ArrayDeque<>()).pollLast();
+        if (idle != null) {
+            pending.sendOn(idle);
+        } else {
+            connect(pending);
+        }
+    }
+
+    private InetSocketAddress nextOwnAddress() {
+        return new InetSocketAddress("127.0.0.1", 1024 + port++ % 60_000);
+    }
+
+    private void connect(PendingRequest pending) {
+        world.network.connect(party, nextOwnAddress(), pending.node.address, new Network.ConnectHandler() {
             @Override public Network.End opened(Network.Link link) {
-                pending.link = link;
+                ClientConnection connection = new ClientConnection(link, pending.node);
                 if (pending.finished) {
                     link.close(null);
                 } else {
                     // Sent by an event of its own: the link knows its end only after this method has returned.
-                    world.scheduleAt(world.now(), () -> link.send(pending, request.toString().getBytes(StandardCharsets.US_ASCII)));
+                    connection.current = pending;
+                    pending.connection = connection;
+                    world.scheduleAt(world.now(), () -> link.send(connection, pending.bytes()));
                 }
-                return pending;
+                return connection;
             }
 
             @Override public void refused() {
@@ -147,38 +166,118 @@
         });
     }
 
+    /** Opens connections to a node that ask nothing, and closes those that are left after this time in nanoseconds. */
+    void openCrowd(FleetNode node, int size, long length) {
+        for (int i = 0; i < size; i++) {
+            world.network.connect(party, nextOwnAddress(), node.address, new Network.ConnectHandler() {
+                @Override public Network.End opened(Network.Link link) {
+                    ClientConnection connection = new ClientConnection(link, node);
+                    world.scheduleIn(length, connection::close);
+                    return connection;
+                }
+
+                @Override public void refused() { }
+            });
+        }
+    }
+
+    /** A connection to a node, which carries one request at a time. */
+    private final class ClientConnection implements Network.End {
+        private final Network.Link link;
+        private final FleetNode node;
+        private final StringBuilder text = new StringBuilder();
+        private PendingRequest current;
+        private boolean open = true;
+        /** Whether it has carried a request before the current one. */
+        private boolean used;
+
+        ClientConnection(Network.Link link, FleetNode node) {
+            this.link = link;
+            this.node = node;
+        }
+
+        @Override public void received(byte[] bytes) {
+            text.append(new String(bytes, StandardCharsets.US_ASCII));
+            int end = text.indexOf("\r\n");
+            if (end > 0 && current != null) {
+                String line = text.substring(0, end);
+                text.delete(0, end + 2);
+                current.received(line);
+            }
+        }
+
+        @Override public void closed() {
+            open = false;
+            idleConnections.getOrDefault(node.name, new ArrayDeque<>()).remove(this);
+            if (current != null) {
+                current.connectionClosed();
+            }
+        }
+
+        void close() {
+            if (open) {
+                open = false;
+                link.close(this);
+            }
+        }
+
+        /** The request on it has ended: the connection is kept for the next one, or closed where its reply may still come. */
+        void release(boolean answered) {
+            current = null;
+            used = true;
+            if (answered && keepsConnections && open) {
+                idleConnections.computeIfAbsent(node.name, name -> new ArrayDeque<>()).addLast(this);
+            } else {
+                close();
+            }
+        }
+    }
+
     /** One request in flight. */
-    private final class PendingRequest implements Network.End {
+    private final class PendingRequest {
         private final Mail mail;
         private final String id;
         private final FleetNode node;
-        private final StringBuilder text = new StringBuilder();
-        private Network.Link link;
+        private final String text;
+        private ClientConnection connection;
         private boolean finished;
 
-        PendingRequest(Mail mail, String id, FleetNode node) {
+        PendingRequest(Mail mail, String id, FleetNode node, String text) {
             this.mail = mail;
             this.id = id;
             this.node = node;
+            this.text = text;
         }
 
-        @Override public void received(byte[] bytes) {
-            text.append(new String(bytes, StandardCharsets.US_ASCII));
-            if (text.indexOf("\r\n") > 0) {
-                String line = text.substring(0, text.indexOf("\r\n"));
-                if (line.startsWith("+")) {
-                    answered("OK", 0);
-                } else if (line.startsWith("-BUSY")) {
-                    String[] words = line.split(" ");
-                    answered("BUSY", Math.max(20, words.length > 1 ? Integer.parseInt(words[1]) : 100));
-                } else {
-                    answered("ERR", 0);
-                }
+        byte[] bytes() {
+            return text.getBytes(StandardCharsets.US_ASCII);
+        }
+
+        void sendOn(ClientConnection idle) {
+            connection = idle;
+            idle.current = this;
+            idle.link.send(idle, bytes());
+        }
+
+        void received(String line) {
+            if (line.startsWith("+")) {
+                answered("OK", 0);
+            } else if (line.startsWith("-BUSY")) {
+                String[] words = line.split(" ");
+                answered("BUSY", Math.max(20, words.length > 1 ? Integer.parseInt(words[1]) : 100));
+            } else {
+                answered("ERR", 0);
             }
         }
 
-        @Override public void closed() {
-            answered("NONE", 50);
+        /** A node may close a connection that was kept before it has read the request, which is then sent once more on a new one. */
+        void connectionClosed() {
+            if (connection.used && !finished) {
+                connection = null;
+                connect(this);
+            } else {
+                answered("NONE", 50);
+            }
         }
 
         void timedOut() {
@@ -192,8 +291,8 @@
             }
             finished = true;
             world.record(new Fact.Answered(world.now(), id, node.name, answer));
-            if (link != null) {
-                link.close(this);
+            if (connection != null) {
+                connection.release(!answer.equals("NONE"));
             }
             if (answer.equals("OK") || answer.equals("ERR")) {
                 finish(mail);
--- a/lab/src/main/java/wrenreach/lab/FaultText.java
+++ b/lab/src/main/java/wrenreach/lab/FaultText.java
@@ -87,7 +87,7 @@
     private static int maxFigures(Scenario.Kind kind) {
         return switch (kind) {
             case DELAY, REORDERING -> 2;
-            case RESET, RATE, LOSS, DOUBLING, WALL_AHEAD, WALL_BEHIND -> 1;
+            case RESET, RATE, LOSS, DOUBLING, WALL_AHEAD, WALL_BEHIND, CROWD -> 1;
             default -> kind.failingCall() == null && !kind.ofResponses() ? 0 : 2;
         };
     }
--- a/lab/src/main/java/wrenreach/lab/Scenario.java
+++ b/lab/src/main/java/wrenreach/lab/Scenario.java
@@ -22,9 +22,12 @@
     /** The largest whole number that a scenario's text may hold. */
     static final int MAX_NUMBER = 100_000_000;
 
-    /** The numeric parameters of a day. LEDGER: 1 is the journal, 2 the store; RATE: mails a second over all nodes; LENGTH: ms. */
+    /**
+     * The numeric parameters of a day. LEDGER: 1 is the journal, 2 the store; RATE: mails a second over all nodes; LENGTH: ms;
+     * CONNECTIONS: 1 is a client's connection for each mail, 2 are connections that are kept until the node closes them.
+     */
     enum Figure {
-        NODES(1), DESTINATIONS(1), ENDPOINTS(1), ZONES(1), LEDGER(1), RATE(20), LENGTH(10_000);
+        NODES(1), DESTINATIONS(1), ENDPOINTS(1), ZONES(1), LEDGER(1), RATE(20), LENGTH(10_000), CONNECTIONS(1);
 
         final int defaultValue;
 
@@ -108,7 +111,9 @@
         /** The platform answers a share (figure) of the node's posts twice: up to more ms after the answer, or after the next post. */
         NOTICE_COPIES(TargetType.NODE, Environment.BOTH),
         /** A share (figure) of the lists that discovery sends to the node is sent again, up to more ms later, after newer ones too. */
-        LIST_COPIES(TargetType.NODE, Environment.BOTH);
+        LIST_COPIES(TargetType.NODE, Environment.BOTH),
+        /** As many clients as the figure connect to the node and ask nothing. */
+        CROWD(TargetType.NODE, Environment.BOTH);
 
         final TargetType targetType;
         final Environment environment;
@@ -124,7 +129,7 @@
 
         /** Whether it strikes a share of the responses of an HTTP server: figure: the share, more: the longest delay in ms. */
         boolean ofResponses() {
-            return ordinal() >= REJECTING.ordinal();
+            return ordinal() >= REJECTING.ordinal() && ordinal() <= LIST_COPIES.ordinal();
         }
 
         /** The system call of the process that the fault makes fail; null: none. */
@@ -232,6 +237,11 @@
         return figures.get(Figure.LEDGER) == 2;
     }
 
+    /** Whether clients keep their connections. */
+    boolean keepsConnections() {
+        return figures.get(Figure.CONNECTIONS) == 2;
+    }
+
     int rate() {
         return figures.get(Figure.RATE);
     }
@@ -266,7 +276,7 @@
             }
         }
         List<Fault> faults = new ArrayList<>();
-        List<Kind> kinds = Arrays.stream(Kind.values()).filter(kind -> kind.environment != Environment.PROCESSES && !kind.ofResponses()).toList();
+        List<Kind> kinds = Arrays.stream(Kind.values()).filter(kind -> kind.environment != Environment.PROCESSES && kind.ordinal() < Kind.REJECTING.ordinal()).toList();
         int count = random.nextInt(6);
         for (int i = 0; i < count; i++) {
             Kind kind = kinds.get(random.nextInt(kinds.size()));
--- a/lab/src/main/java/wrenreach/lab/ScenarioRun.java
+++ b/lab/src/main/java/wrenreach/lab/ScenarioRun.java
@@ -50,6 +50,7 @@
     private static final long TRIGGER_POLL_INTERVAL_NS = 5 * NS_PER_MS;
 
     final Scenario scenario;
+    private Clients clients;
     final World world;
     final Settings settings;
     private final List<Receiver> receivers = new ArrayList<>();
@@ -135,7 +136,7 @@
     long begin() {
         long begin = world.now();
         long length = scenario.lengthMs() * NS_PER_MS;
-        Clients clients = new Clients(world, scenario.destinations(), scenario.effectiveClasses());
+        clients = new Clients(world, scenario.destinations(), scenario.effectiveClasses(), scenario.keepsConnections());
         world.scheduleIn(500 * NS_PER_MS, () -> clients.submitMails(scenario.rate(), begin + length));
         List<Scenario.Fault> waiting = new ArrayList<>();
         for (Scenario.Fault fault : scenario.faults()) {
@@ -355,6 +356,7 @@
                         new Impairment(Impairment.Kind.CUT, 0, 0), length);
             }
             case NOTICES_REFUSED, NOTICE_COPIES, LIST_COPIES -> platforms.get(world.nodes.indexOf(node)).begin(fault);
+            case CROWD -> clients.openCrowd(node, (int) fault.figure(), length);
             case KILL_IN_WRITE -> node.killInWrite(length);
             case WALL_AHEAD, WALL_BEHIND -> {
                 long step = (long) ((fault.kind() == Scenario.Kind.WALL_AHEAD ? 1e9 : -1e9) * fault.figure());
--- a/lab/src/main/java/wrenreach/lab/SoakDay.java
+++ b/lab/src/main/java/wrenreach/lab/SoakDay.java
@@ -34,6 +34,11 @@
     /** The largest share of a kind of system calls that is drawn to fail; short transfers get up to twice this share. */
     private static final double MAX_FAILURE_SHARE = 0.3;
 
+    /** One day in so many has a crowd of idle clients, on average. */
+    private static final int CROWD_ONE_IN = 5;
+    /** Idle clients of a crowd, at most; a node has 512 descriptors. */
+    private static final int MAX_CROWD = 400;
+
     private final UniformRandomProvider random;
     private final int nodes;
     private final int receivers;
@@ -61,8 +66,18 @@
         figures.put(Scenario.Figure.ZONES, 1 + day.random.nextInt(2));
         figures.put(Scenario.Figure.RATE, 30 + day.random.nextInt(60));
         figures.put(Scenario.Figure.LENGTH, LENGTH_MS + quiet);
+        List<Scenario.QueueClass> classes = day.generateClasses();
+        // Drawn last, so that all else of a day is what its seed stood for before these were added.
+        figures.put(Scenario.Figure.CONNECTIONS, 1 + day.random.nextInt(2));
+        if (day.random.nextInt(3) > 0) {
+            Scenario.addResponseFaults(day.random, quiet + EARLIEST_MS, quiet + LENGTH_MS, day.faults);
+        }
+        if (day.random.nextInt(CROWD_ONE_IN) == 0) {
+            day.addFaultWithFigure(Scenario.Kind.CROWD, day.random.nextInt(day.nodes), 50 + day.random.nextInt(MAX_CROWD - 50),
+                    quiet + EARLIEST_MS + day.random.nextInt(LATEST_MS - EARLIEST_MS), 3000);
+        }
         day.faults.sort(Comparator.comparingInt(Scenario.Fault::atMs));
-        return new Scenario(seed, figures, day.generateClasses(), day.faults);
+        return new Scenario(seed, figures, classes, day.faults);
     }
 
     private List<Scenario.QueueClass> generateClasses() {
