Log which connection an attempt used, deliveries at DEBUG, and which notice is refused

Change: a failed attempt's line says whether its connection was new or used, its number and the time since the decision; the same line for a delivered one, and one for a confirmed notice, at DEBUG of wrenreach.message; the line on refused notices names the first message. With answer.stray (connection, address, message before and in flight, counts by kind) one connection can be followed.

--- a/decisions/src/main/java/wrenreach/state/DeliveryAttempt.java
+++ b/decisions/src/main/java/wrenreach/state/DeliveryAttempt.java
@@ -20,6 +20,8 @@
     public boolean neverRan;
     /** Whether it was sent over a connection that had carried other calls before. */
     public boolean reusedConnection;
+    /** The host's number of the connection that carries it, for the log; 0: none yet. */
+    public int connectionNumber;
 
     public DeliveryAttempt(Mail mail, Endpoint endpoint, long sentAt, long timeoutAt, Call call) {
         this.mail = mail;
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -213,6 +213,7 @@
         connection.call = call;
         connection.written = false;
         call.connection = connection;
+        call.attempt.connectionNumber = connection.number;
         stagedCalls.add(call);
     }
 
--- a/node/src/main/java/wrenreach/net/Notices.java
+++ b/node/src/main/java/wrenreach/net/Notices.java
@@ -197,8 +197,8 @@
     private void postFailed(String why) {
         if (!failing) {
             failing = true;
-            LogEvent.log(LOG, Level.WARNING, "notices.unanswered", "notices: {why}; {kept} kept and sent again",
-                    "why", why, "kept", unacknowledged.size());
+            LogEvent.log(LOG, Level.WARNING, "notices.unanswered", "notices: {why}; {kept} kept and sent again, first that of message {id}",
+                    "why", why, "kept", unacknowledged.size(), "id", unacknowledged.isEmpty() ? "none" : unacknowledged.iterator().next().submission.id());
         }
         dropConnection();
         loop.schedule(this::flush, backoff.nextDelay(), TimeUnit.MILLISECONDS);
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -676,9 +676,7 @@
             subsystems.queueEvent(new NodeEvent.AttemptEnded(mail.submission.id(), attempt.number,
                     endpointName(attempt.endpoint), outcome, now));
         }
-        if (!(outcome instanceof Outcome.Delivered)) {
-            messageLog.attemptFailed(mail, attempt.number, endpointName(attempt.endpoint), outcome, now);
-        }
+        messageLog.attemptEnded(mail, attempt, endpointName(attempt.endpoint), outcome, now);
         boolean inJournal = mail.attempts.stream().anyMatch(recorded -> recorded.number() == attempt.number);
         if (completed && mail.ending == null) {
             publishEnd(mail, NodeEvent.End.RELAYED, 0);
@@ -696,6 +694,7 @@
     private void noticeAcknowledged(HeldMail mail) {
         runInIteration(() -> {
             iterationTime();
+            messageLog.noticeConfirmed(mail);
             completeMail(mail);
         });
     }
--- a/node/src/main/java/wrenreach/node/MessageLog.java
+++ b/node/src/main/java/wrenreach/node/MessageLog.java
@@ -10,6 +10,7 @@
 import wrenreach.held.Submission;
 import wrenreach.log.LogEvent;
 import wrenreach.log.LogRateLimiter;
+import wrenreach.state.DeliveryAttempt;
 
 /**
  * Logs what became of single mails, for those who look into an incident: refusals, attempts that did not deliver, endings other than a
@@ -50,12 +51,29 @@
         }
     }
 
-    /** An attempt ended and did not deliver the mail. */
-    void attemptFailed(HeldMail mail, int number, String endpoint, Outcome outcome, long now) {
-        if (mayLog(LineKind.ATTEMPT, now)) {
-            LogEvent.log(LOG, Level.INFO, "message.attempt", "message {id}: attempt {number} at {endpoint} failed: {outcome}{more}", "id",
-                    mail.submission.id(), "key", mail.submission.key(), "destination", mail.submission.destination(), "number",
-                    number, "endpoint", endpoint, "outcome", describe(outcome), "more", suppressedNote(LineKind.ATTEMPT));
+    /** An attempt ended. */
+    void attemptEnded(HeldMail mail, DeliveryAttempt attempt, String endpoint, Outcome outcome, long now) {
+        if (outcome instanceof Outcome.Delivered) {
+            if (LOG.isLoggable(Level.DEBUG)) {
+                logAttempt(Level.DEBUG, "delivered", mail, attempt, endpoint, outcome, now);
+            }
+        } else if (mayLog(LineKind.ATTEMPT, now)) {
+            logAttempt(Level.INFO, "failed", mail, attempt, endpoint, outcome, now);
+        }
+    }
+
+    private void logAttempt(Level level, String result, HeldMail mail, DeliveryAttempt attempt, String endpoint, Outcome outcome, long now) {
+        LogEvent.log(LOG, level, "message.attempt", "message {id}: attempt {number} at {endpoint} {result}: {outcome}; {connection_use} connection "
+                + "{connection}, {ms} ms after it was decided{more}", "id", mail.submission.id(), "key", mail.submission.key(), "destination",
+                mail.submission.destination(), "number", attempt.number, "endpoint", endpoint, "result", result, "outcome", describe(outcome),
+                "connection_use", attempt.reusedConnection ? "used" : "new", "connection", attempt.connectionNumber, "ms", (now - attempt.sentAt) / 1000,
+                "more", level == Level.DEBUG ? "" : suppressedNote(LineKind.ATTEMPT));
+    }
+
+    /** The platform has confirmed the notice of a mail's ending. */
+    void noticeConfirmed(HeldMail mail) {
+        if (LOG.isLoggable(Level.DEBUG)) {
+            LogEvent.log(LOG, Level.DEBUG, "message.confirmed", "message {id}: its notice is confirmed", "id", mail.submission.id());
         }
     }
 
