A file written to while it is closed is read again

What callers saw: a changed config or operator's file was not applied, once, until the next change (ServeTest, one failure on record).

Cause: Reload's digest is of what the reader read and of what close() drained behind it. What was written between the reader's end and its close was in the digest, but never applied, so the next look took the file for applied.

Change: once the reader has seen the end, close() reads no further; the digest is of what was applied.

Evidence: fileWrittenToAfterItsEndWasReadIsAppliedAgain failed before (applied once, with 0 bytes).

--- a/node/src/main/java/wrenreach/node/Reload.java
+++ b/node/src/main/java/wrenreach/node/Reload.java
@@ -132,12 +132,27 @@
             }
             return new DigestInputStream(Files.newInputStream(file), sha256) {
                 private boolean closed;
+                private boolean ended;
 
-                /** Reads what its reader has left, so that the digest covers the whole file. */
+                @Override public int read() throws IOException {
+                    int read = super.read();
+                    ended |= read < 0;
+                    return read;
+                }
+
+                @Override public int read(byte[] into, int offset, int length) throws IOException {
+                    int read = super.read(into, offset, length);
+                    ended |= read < 0;
+                    return read;
+                }
+
+                /** Reads what its reader has left, so that the digest covers the whole file, but nothing that came after the end it saw. */
                 @Override public void close() throws IOException {
                     if (!closed) {
                         closed = true;
-                        transferTo(OutputStream.nullOutputStream());
+                        if (!ended) {
+                            transferTo(OutputStream.nullOutputStream());
+                        }
                         contentDigest = sha256.digest();
                         super.close();
                     }
--- a/node/src/test/java/wrenreach/node/ReloadTest.java
+++ b/node/src/test/java/wrenreach/node/ReloadTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -88,6 +90,24 @@
         assertThat(ports).containsExactly(52, 53);
     }
 
+    /** Guards against a change between the reader's end and its close that is taken for applied: it was never read. */
+    @Test void fileWrittenToAfterItsEndWasReadIsAppliedAgain() throws IOException {
+        Path file = Files.writeString(folder.resolve("written"), "");
+        List<String> applied = new CopyOnWriteArrayList<>();
+        Reload reload = new Reload(file, RETRY_MICROS);
+        reload.setHandler(source -> {
+            try (InputStream in = source.open()) {
+                applied.add(new String(in.readAllBytes(), StandardCharsets.UTF_8));
+                if (applied.size() == 1) {
+                    Files.writeString(file, "log on");
+                }
+            }
+        });
+        assertThat(reload.fileChanged()).isTrue();
+        assertThat(reload.fileChanged()).isTrue();
+        assertThat(applied).containsExactly("", "log on");
+    }
+
     /** A node that was started with SIGHUP ignored (nohup, some supervisors) gets no signal and follows the file itself. */
     @Test void watchedFileIsAppliedOnlyWhenItChanges() throws Exception {
         Path file = writeConfig("127.0.0.1:21");
