A refusal of discovery counts until a list comes or its address changes

What callers could see: a node whose discovery had once refused a watch, and had moved within the drain grace after the start, sent by the old list without waiting for the new address: calls to endpoints that drain.

Cause: Discovery.refuses was never reset.

Change: reset by each list and by a new address.

Evidence: refusalCountsUntilAListComesOrTheAddressChanges, both cases, failed before.

--- a/node/src/main/java/wrenreach/net/Discovery.java
+++ b/node/src/main/java/wrenreach/net/Discovery.java
@@ -165,6 +165,7 @@
             return;
         }
         address = newAddress;
+        refuses = false;
         indexValid = false;
         backoff.reset();
         List<Channel> former = new ArrayList<>(openChannels);
@@ -175,7 +176,7 @@
         }
     }
 
-    /** Whether discovery has answered a watch with an error status: it is reachable, but has no list to send. */
+    /** Whether discovery has answered a watch with an error status and sent no list since: it is reachable, but has none to send. */
     public boolean refuses() {
         return refuses;
     }
@@ -297,6 +298,7 @@
             sink.end(newIndex, snapshot);
             index = newIndex;
             indexValid = true;
+            refuses = false;
             listTooLarge = false;
             if (failing) {
                 failing = false;
--- a/node/src/test/java/wrenreach/net/DiscoveryTest.java
+++ b/node/src/test/java/wrenreach/net/DiscoveryTest.java
@@ -162,6 +162,30 @@
         }
     }
 
+    /** Guards against a refusal that counts for ever: of a list that came later, or of another address, it says nothing. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void refusalCountsUntilAListComesOrTheAddressChanges(boolean moved) throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            follow(true, NEVER_MS, 2);
+            try (Socket refused = acceptRequest("/api/targets?stream=1&index=3")) {
+                write(refused, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+                assertThat(refused.getInputStream().read()).isEqualTo(-1);
+            }
+            try (Socket watch = acceptRequest("/api/targets?stream=1&index=3")) {
+                assertThat(loop.submit(discovery::refuses).get()).isTrue();
+                if (moved) {
+                    loop.submit(() -> discovery.setAddress((InetSocketAddress) other.getLocalSocketAddress())).get();
+                } else {
+                    beginResponse(watch);
+                    writeChunk(watch, FIRST_LIST);
+                    assertThat(nextList().index()).isEqualTo(5);
+                }
+                assertThat(loop.submit(discovery::refuses).get()).isFalse();
+            }
+        }
+    }
+
     /** Guards against a copy of an earlier list, or of a whole response, that undoes or changes a later list. */
     @ParameterizedTest
     @ValueSource(strings = {"chunk of 5", "chunk of 7", "response", "half"})
