A config without listen is valid where GW_LISTEN gives the address

What callers saw: exit 2 with 'listen is missing' although the environment names the address, which goes before the file's.

Cause: the default of getOrDefault was evaluated, and required, in any case.

Change: the file's address is required only where the environment has none.

Evidence: listenAddressMayComeFromTheEnvironmentAlone failed before.

--- a/node/src/main/java/wrenreach/node/Config.java
+++ b/node/src/main/java/wrenreach/node/Config.java
@@ -107,7 +107,7 @@
         settings.forEach((path, value) -> text.append(path).append('=').append(value).append('\n'));
         long seed = Long.parseUnsignedLong(flat.getOrDefault("seed", "0"), 16);
         return new Config(flat.getOrDefault("name", "node"),
-                Addresses.parse(environment.getOrDefault("GW_LISTEN", required(flat, "listen"))),
+                Addresses.parse(environment.containsKey("GW_LISTEN") ? environment.get("GW_LISTEN") : required(flat, "listen")),
                 Addresses.parse(required(flat, "discovery")),
                 (int) positiveNumber(flat, "limits.sockets"), memoryBytes,
                 (long) (1_000_000 * positiveNumber(flat, "limits.disk_mb")), known,
--- a/node/src/test/java/wrenreach/node/ConfigTest.java
+++ b/node/src/test/java/wrenreach/node/ConfigTest.java
@@ -42,6 +42,14 @@
         assertThat(config.discovery().getPort()).isEqualTo(9);
     }
 
+    /** Guards against a config that is rejected for an address which the environment gives. */
+    @Test void listenAddressMayComeFromTheEnvironmentAlone() throws Exception {
+        String json = Files.readString(SAMPLE).replaceFirst("\"listen\": \"[^\"]*\",", "");
+        assertThat(json).doesNotContain("listen");
+        Config config = Config.parse(json.getBytes(StandardCharsets.UTF_8), Map.of("GW_LISTEN", "127.0.0.2:7000"));
+        assertThat(config.listen().getPort()).isEqualTo(7000);
+    }
+
     /** A call carries one mail even where kinds allow several: the protocol has no form for batches. */
     @Test void batchSizeIsAlwaysOne() throws IOException {
         String json = Files.readString(SAMPLE).replace("\"BatchByKind\": [1]", "\"BatchByKind\": [20]");
