A repeat bound to a zone goes to no endpoint of an unknown zone

What callers could see: a tagged mail repeated in another zone than that of its first attempt, where nothing recognizes the repeat: the effect twice. It takes endpoints of zones that the settings do not name, and a restart or more such zones than are told apart.

Cause: attempts and endpoints of unknown zones all have the zone -1 and were taken for neighbours.

Change: two unknown zones are never the same; the same endpoint is still allowed.

Evidence: RetryPolicyTest, case -1, -1, failed before.

--- a/decisions/src/main/java/wrenreach/RetryPolicy.java
+++ b/decisions/src/main/java/wrenreach/RetryPolicy.java
@@ -48,7 +48,7 @@
     /** Whether the second endpoint recognizes a repeat of what the first one was sent. */
     private static boolean inSameScope(Settings.QueueClass queueClass, Endpoint a, Endpoint b) {
         return a == b || queueClass.deduplicationScope() == Settings.DeduplicationScope.ALL
-                || queueClass.deduplicationScope() == Settings.DeduplicationScope.ZONE && a.zone == b.zone;
+                || queueClass.deduplicationScope() == Settings.DeduplicationScope.ZONE && a.zone == b.zone && a.zone != Endpoint.UNKNOWN_ZONE;
     }
 
     /** Whether any attempt for the mail may have taken effect. */
--- a/decisions/src/main/java/wrenreach/state/Endpoint.java
+++ b/decisions/src/main/java/wrenreach/state/Endpoint.java
@@ -5,6 +5,9 @@
 
 /** One endpoint of a destination. Times are in microseconds. */
 public final class Endpoint {
+    /** The zone of endpoints whose zone is not known; no two of them are known to be in the same zone. */
+    public static final int UNKNOWN_ZONE = -1;
+
     /** A number by which the host identifies it; not a network address. */
     public final long address;
     public final Destination destination;
