--- a/decisions/src/main/java/wrenreach/ConnectionReusePolicy.java
+++ b/decisions/src/main/java/wrenreach/ConnectionReusePolicy.java
@@ -72,6 +72,11 @@
         }
     }
 
+    /** How many addresses are remembered for their stray responses. */
+    int distrustedAddresses() {
+        return distrustedUntil.size();
+    }
+
     private boolean isDistrusted(Object address, long now) {
         return allDistrustedUntil > now || distrustedUntil.getOrDefault(address, Long.MIN_VALUE) > now;
     }
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -172,11 +172,9 @@
         PendingCall call = new PendingCall(held, attempt);
         inFlightCalls.put(attempt, call);
         ConnectionPool pool = pools.get(attempt.endpoint);
-        Connection connection = pool == null ? null : pool.idleConnections.pollLast();
+        Connection connection = pool == null ? null : takeIdle(pool);
         call.timeout = DelayedTask.schedule(loop, attempt.timeoutAt - host.iterationTime(), () -> timeOut(call));
         if (connection != null) {
-            idleConnections.remove(connection);
-            connection.cancelIdleTimeout();
             attempt.reusedConnection = true;
             stage(connection, call);
         } else if (pool == null || pool.address == null) {
@@ -186,6 +184,20 @@
         }
     }
 
+    /** An idle connection that may be reused, or null; those found on the way that may not are closed. */
+    private Connection takeIdle(ConnectionPool pool) {
+        for (Connection connection = pool.idleConnections.peekLast(); connection != null; connection = pool.idleConnections.peekLast()) {
+            if (connection.isReusable()) {
+                pool.idleConnections.removeLast();
+                idleConnections.remove(connection);
+                connection.cancelIdleTimeout();
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
     private void openConnection(ConnectionPool pool, PendingCall call) {
         Connection connection = new Connection(pool);
         connection.call = call;
@@ -479,14 +491,12 @@
             close();
             if (proven) {
                 reusePolicy.strayResponse(address, host.iterationTime());
-                new ArrayList<>(pool.idleConnections).forEach(Connection::closeIfNotReusable);
+                pool.idleConnections.stream().filter(idle -> !idle.isReusable()).toList().forEach(Connection::close);
             }
         }
 
-        private void closeIfNotReusable() {
-            if (!reusePolicy.mayReuse(address, pool.variety, history, host.iterationTime())) {
-                close();
-            }
+        boolean isReusable() {
+            return reusePolicy.mayReuse(address, pool.variety, history, host.iterationTime());
         }
 
         private void endBrokenCall() {
@@ -500,7 +510,7 @@
         void becomeIdle() {
             call = null;
             if (!keepAlive || !channel.isActive() || maxIdleConnections == 0 || pool.removed || hasFormerAddress()
-                    || !reusePolicy.mayReuse(address, pool.variety, history, host.iterationTime())) {
+                    || !isReusable()) {
                 close();
                 return;
             }
