--- a/lab/src/main/java/wrenreach/lab/Scenario.java
+++ b/lab/src/main/java/wrenreach/lab/Scenario.java
@@ -185,9 +185,13 @@
         return new Scenario(seed, figures, classes, faults);
     }
 
-    /** Adds one to three faults of the responses of all receivers or platforms, between these times in milliseconds. */
+    /**
+     * Adds one to three faults of the responses of all receivers or platforms, between these times in milliseconds, and refused calls: a
+     * copy of a 200 shows only where the response in whose place it comes is another.
+     */
     static void addResponseFaults(UniformRandomProvider random, int from, int until, List<Fault> faults) {
-        List<FaultKind> kinds = Arrays.stream(FaultKind.values()).filter(FaultKind::ofResponses).toList();
+        List<FaultKind> kinds = Arrays.stream(FaultKind.values()).filter(kind -> kind.ofResponses() && kind != FaultKind.REJECTING).toList();
+        faults.add(new Fault(FaultKind.REJECTING, "all", Math.round(100 * (0.1 + 0.3 * random.nextDouble())) / 100.0, 0, from, null, until - from));
         int count = 1 + random.nextInt(3);
         for (int i = 0; i < count; i++) {
             FaultKind kind = kinds.get(random.nextInt(kinds.size()));
