A wait that is told in a response which does not count for its call is heeded

Cause: a response that is not whole, or not certain to be the call's, ends the call as lost, and its Wait-Ms went with it; one that was not whole was given up only after 500 ms.

Change: what came since the request is kept (4 KB at most); a wait anywhere in it holds the destination, behind a copy or merged with one too: heeding a wait that was another's costs time and breaks nothing. A 429 that is not whole is given up after 50 ms, as calls are let through for 100 ms. ConnectionLost carries the wait, and the decisions take it from any outcome.

Second fault, found in the same log and mended here, as both sit in the same lines: when the node itself closed a connection in the middle of a response, its codec reported that as a response cut short, which counted as a stray on an idle connection and made the address distrusted.

Evidence: waitInAResponseThatDoesNotCountIsHeeded, retryAfterHoldsTheDestinationThoughTheAttemptMayHaveRun, responseCutShortDoesNotEndTheReuseOfConnections.

--- a/decisions/src/main/java/wrenreach/DeliveryDispatcher.java
+++ b/decisions/src/main/java/wrenreach/DeliveryDispatcher.java
@@ -204,9 +204,9 @@
         rateLimiter.onLoadReport(attempt.endpoint, loadReport, now);
         // Each mail of a call has a Retry-After of its own, some reported a tick later than the first. The longest one holds, so that no attempt is made
         // before the last of them is over.
-        if (outcome instanceof Outcome.Rejected rejected && rejected.retryAfter() > 0) {
+        if (outcome.retryAfter() > 0) {
             Route route = attempt.endpoint.route;
-            route.retryAfterUntil = Math.max(route.retryAfterUntil, now + rejected.retryAfter() + tick);
+            route.retryAfterUntil = Math.max(route.retryAfterUntil, now + outcome.retryAfter() + tick);
             route.backoffUntil = Math.max(route.backoffUntil, route.retryAfterUntil);
         }
         recordOutcome(attempt, outcome, now);
--- a/decisions/src/main/java/wrenreach/api/Outcome.java
+++ b/decisions/src/main/java/wrenreach/api/Outcome.java
@@ -7,6 +7,11 @@
         return false;
     }
 
+    /** How long the receiver asks to wait, in microseconds; 0 if it did not say. Heeded also where the response can't be taken for this attempt's. */
+    default long retryAfter() {
+        return 0;
+    }
+
     /** The receiver accepted the mail. */
     record Delivered() implements Outcome { }
 
@@ -34,8 +39,16 @@
         }
     }
 
-    /** The connection broke before the response was complete. */
-    record ConnectionLost() implements Outcome { }
+    /**
+     * The connection broke before a response was complete that is certain to be this attempt's.
+     *
+     * @param retryAfter how long what came asks to wait, in microseconds; 0 if it did not say
+     */
+    record ConnectionLost(long retryAfter) implements Outcome {
+        public ConnectionLost() {
+            this(0);
+        }
+    }
 
     /** The node stopped waiting for the response; the receiver may have processed the mail. */
     record Cancelled() implements Outcome { }
--- a/decisions/src/test/java/wrenreach/DeliveryDispatcherTest.java
+++ b/decisions/src/test/java/wrenreach/DeliveryDispatcherTest.java
@@ -255,6 +255,15 @@
         assertThat(node.runIteration(2500)).isNotEmpty();
     }
 
+    /** Guards against a wait that is dropped because the response that told it could not be taken for the attempt's. */
+    @Test void retryAfterHoldsTheDestinationThoughTheAttemptMayHaveRun() {
+        NodeFixture node = new NodeFixture();
+        node.addEndpoint(1, 0);
+        node.endAttempt(node.sendMail(), new Outcome.ConnectionLost(900 * NodeFixture.MS));
+        assertThat(node.runIteration(899)).isEmpty();
+        assertThat(node.runIteration(2000)).isNotEmpty();
+    }
+
     @Test void eachMailOfACallExtendsTheHoldByItsOwnRetryAfter() {
         node.batchSize = 5;
         node.addEndpoint(1, 0);
--- a/node/src/main/java/wrenreach/net/CallCodec.java
+++ b/node/src/main/java/wrenreach/net/CallCodec.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import java.util.zip.CRC32;
 import wrenreach.api.Outcome;
 import wrenreach.held.Submission;
@@ -25,6 +26,7 @@
     /** A load report with a larger value is ignored. */
     private static final double MAX_REPORTED_VALUE = 1e6;
 
+    private static final Pattern RETRY_AFTER = Pattern.compile("(?i)Wait-Ms:[ \\t]*([0-9.]+)");
     /** The start of any response: it stands within another one where that was cut off and the next one came behind it. */
     private static final String RESPONSE_START = "HTTP/1.";
     /** The headers that the protocol defines. Others, as Date or Via, may differ between a response and its copy. */
@@ -104,6 +106,11 @@
         return false;
     }
 
+    /** How long anything in this text of responses asks to wait, in microseconds; 0 if nothing does. */
+    static long longestRetryAfter(CharSequence responses) {
+        return RETRY_AFTER.matcher(responses).results().mapToLong(found -> 1000 * parseRetryAfterMs(found.group(1))).max().orElse(0);
+    }
+
     private static long parseRetryAfterMs(String ms) {
         try {
             return ms == null ? 0 : Math.max(0, Math.min(MAX_RETRY_AFTER_MS, (long) Math.ceil(Double.parseDouble(ms))));
--- a/node/src/main/java/wrenreach/net/Calls.java
+++ b/node/src/main/java/wrenreach/net/Calls.java
@@ -51,6 +51,9 @@
     private static final int MAX_BODY_BYTES = 64 * 1024;
     /** How long a response may take from its status line to its last byte. */
     private static final long RESPONSE_BODY_TIMEOUT_MS = 500;
+    /** The same of a response that asks to wait, which has to be heeded soon, whole or not. */
+    private static final long WAIT_BODY_TIMEOUT_MS = 50;
+    private static final int TOO_MANY_REQUESTS = 429;
     /** Least time between two log lines on unreadable responses, in microseconds; those in between are only counted. */
     private static final long LOG_INTERVAL_US = 10_000_000;
 
@@ -357,10 +360,11 @@
         }
         long now = host.iterationTime();
         Outcome outcome = result.outcome();
-        if (outcome instanceof Outcome.Rejected rejected && rejected.retryAfter() > 0) {
+        if (outcome.retryAfter() > 0) {
             // The wait runs from when the response came. Counted from the start of a long iteration, as at a start, it would end too early.
-            outcome = new Outcome.Rejected(rejected.retryAfter() + host.iterationAge());
-            setRetryAfter(call.attempt.endpoint.route, now + rejected.retryAfter() + host.iterationAge());
+            long retryAfter = outcome.retryAfter() + host.iterationAge();
+            outcome = outcome instanceof Outcome.Rejected ? new Outcome.Rejected(retryAfter) : new Outcome.ConnectionLost(retryAfter);
+            setRetryAfter(call.attempt.endpoint.route, now + retryAfter);
         }
         host.attemptEnded(call.heldMail, call.attempt, outcome, result.loadReport(), result.completed());
     }
@@ -408,6 +412,8 @@
         private DelayedTask bodyTimeout;
         private Future<?> idleTimeout;
         private String lastMessage = "";
+        /** The node has closed it, or it broke: what its handlers still report is of the close itself. */
+        private boolean closed;
 
         Connection(ConnectionPool pool) {
             this.pool = pool;
@@ -426,14 +432,18 @@
             statusDecoder.expectResponse();
         }
 
-        private void finalResponseBegins() {
+        private void finalResponseBegins(int status) {
             if (!written) {
                 throw new CorruptedFrameException("a response before its request was written");
             }
-            bodyTimeout = DelayedTask.schedule(loop, RESPONSE_BODY_TIMEOUT_MS * 1000, () -> closeUnreadable("it does not end"));
+            long timeoutMs = status == TOO_MANY_REQUESTS ? WAIT_BODY_TIMEOUT_MS : RESPONSE_BODY_TIMEOUT_MS;
+            bodyTimeout = DelayedTask.schedule(loop, timeoutMs * 1000, () -> closeUnreadable("it does not end"));
         }
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+            if (closed) {
+                return;
+            }
             if (!(message instanceof FullHttpResponse response)) {
                 closeUnreadable("more than belongs to it");
             } else if (response.decoderResult().isFailure()) {
@@ -448,7 +458,7 @@
             if (!reusePolicy.counts(history, fingerprint)) {
                 closeStray(fingerprint.merged() ? StrayResponses.Kind.MERGED : StrayResponses.Kind.REPEATED,
                         "status " + response.status().code(), reusePolicy.provesStray(fingerprint));
-                end(call, new Outcome.ConnectionLost());
+                end(call, lostOutcome());
                 return;
             }
             CallResult result = codec.decode(response);
@@ -501,11 +511,15 @@
 
         private void endBrokenCall() {
             if (call != null) {
-                end(call, isRelayed(call) ? new Outcome.Delivered() : written ? new Outcome.ConnectionLost()
-                        : new Outcome.ConnectFailed());
+                end(call, isRelayed(call) ? new Outcome.Delivered() : written ? lostOutcome() : new Outcome.ConnectFailed());
             }
         }
 
+        /** The outcome of a call that nothing certain has answered. What came may be another's, but a wait that it asks for is heeded. */
+        private Outcome lostOutcome() {
+            return new Outcome.ConnectionLost(CallCodec.longestRetryAfter(statusDecoder.received()));
+        }
+
         /** The connection carries no call any more: it is pooled, or closed where it may not be reused. */
         void becomeIdle() {
             call = null;
@@ -532,6 +546,7 @@
         }
 
         void close() {
+            closed = true;
             cancelIdleTimeout();
             if (bodyTimeout != null) {
                 bodyTimeout.cancel();
@@ -549,7 +564,7 @@
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof CodecException) {
+            if (cause instanceof CodecException && !closed) {
                 closeUnreadable(cause.getMessage());
             } else {
                 ctx.close();
--- a/node/src/main/java/wrenreach/net/ResponseStatusDecoder.java
+++ b/node/src/main/java/wrenreach/net/ResponseStatusDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.IntConsumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -22,13 +23,17 @@
     /** What the next bytes are: unexpected, a status line, headers of an interim response, or the rest of a response to pass on. */
     private enum State { NONE_EXPECTED, STATUS_LINE, INTERIM_HEADERS, PASS_THROUGH }
 
-    private final Runnable onStatusLine;
+    /** What has come since the request is kept up to so many bytes. */
+    private static final int MAX_KEPT_BYTES = 4 * 1024;
+
+    private final IntConsumer onStatusLine;
+    private final StringBuilder received = new StringBuilder();
     private State state = State.NONE_EXPECTED;
     private int bytesSeen;
     private int status;
 
-    /** onStatusLine: run when the status line of a final response has come; may throw CorruptedFrameException if none is due yet. */
-    ResponseStatusDecoder(Runnable onStatusLine) {
+    /** onStatusLine: gets the status when the status line of a final response has come; may throw CorruptedFrameException if none is due yet. */
+    ResponseStatusDecoder(IntConsumer onStatusLine) {
         this.onStatusLine = onStatusLine;
     }
 
@@ -37,6 +42,12 @@
         state = State.STATUS_LINE;
         status = 0;
         bytesSeen = 0;
+        received.setLength(0);
+    }
+
+    /** What has come since the last request was written, from its final status line on. */
+    CharSequence received() {
+        return received;
     }
 
     /** The response has ended: further bytes are an error, and its status says nothing of the next call on the connection. */
@@ -50,9 +61,15 @@
         return status;
     }
 
-    private void beginResponse(ByteBuf in) {
+    private void passOn(ByteBuf in, List<Object> out) {
+        int kept = Math.min(in.readableBytes(), MAX_KEPT_BYTES - received.length());
+        received.append(in.toString(in.readerIndex(), kept, StandardCharsets.ISO_8859_1));
+        out.add(in.readRetainedSlice(in.readableBytes()));
+    }
+
+    private void beginResponse(ByteBuf in, int code) {
         try {
-            onStatusLine.run();
+            onStatusLine.accept(code);
         } catch (CorruptedFrameException e) {
             in.skipBytes(in.readableBytes());
             throw e;
@@ -61,7 +78,7 @@
 
     @Override protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (state == State.PASS_THROUGH) {
-            out.add(in.readRetainedSlice(in.readableBytes()));
+            passOn(in, out);
             return;
         }
         if (state == State.NONE_EXPECTED) {
@@ -94,10 +111,10 @@
             in.skipBytes(length + 1);
             state = State.INTERIM_HEADERS;
         } else {
-            beginResponse(in);
+            beginResponse(in, code);
             status = code;
             state = State.PASS_THROUGH;
-            out.add(in.readRetainedSlice(in.readableBytes()));
+            passOn(in, out);
         }
     }
 }
--- a/node/src/test/java/wrenreach/net/CallsTest.java
+++ b/node/src/test/java/wrenreach/net/CallsTest.java
@@ -215,11 +215,11 @@
         try (Socket socket = reusableConnection()) {
             sendNext(socket);
             answer(socket, "HTTP/1.1 " + refusal);
-            assertThat(nextOutcome()).isNotEqualTo(new Outcome.ConnectionLost());
+            assertThat(nextOutcome()).isNotInstanceOf(Outcome.ConnectionLost.class);
             TimeUnit.MILLISECONDS.sleep(50);
             sendNext(socket);
             answer(socket, "HTTP/1.1 " + refusal);
-            assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectionLost());
+            assertThat(nextOutcome()).isInstanceOf(Outcome.ConnectionLost.class);
         }
     }
 
@@ -266,6 +266,38 @@
         }
     }
 
+    /** Guards against a wait that is not heeded because the response that tells it does not count: cut short, behind a copy, merged. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 429 Wait\r\nWait-Ms: 15000\r\nContent-Length: 5\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nbHTTP/1.1 429 Wait\r\nContent-Length: 0\r\nWait-Ms: 15000\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nuniHTTP/1.1 429 Wait\r\nwait-ms: 15000\r\nContent-Length: 0\r\n\r\n"})
+    void waitInAResponseThatDoesNotCountIsHeeded(String text) throws Exception {
+        try (Socket socket = reusableConnection()) {
+            sendNext(socket);
+            long begin = System.nanoTime();
+            write(socket, text);
+            assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectionLost(15 * SECOND_US));
+            assertThat(System.nanoTime() - begin).as("calls are let through for 100 ms").isLessThan(TimeUnit.MILLISECONDS.toNanos(400));
+        }
+    }
+
+    /** Guards against a close of the node's own that is taken for a stray response: its handlers report that a response was cut short. */
+    @Test void responseCutShortDoesNotEndTheReuseOfConnections() throws Exception {
+        try (Socket socket = reusableConnection()) {
+            sendNext(socket);
+            write(socket, "HTTP/1.1 503 Full\r\nContent-Length: 3\r\n\r\n");
+            assertThat(nextOutcome()).isEqualTo(new Outcome.ConnectionLost());
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+        send(30 * SECOND_US);
+        try (Socket socket = accept()) {
+            readRequest(socket);
+            deliver(socket, "c");
+            assertThat(nextOutcome()).isEqualTo(new Outcome.Delivered());
+            sendNext(socket);
+        }
+    }
+
     /** Guards against a response that is older than its request: a call whose last byte is not written never ran. */
     @Test void responseBeforeItsRequestIsWrittenEndsNoCall() throws Exception {
         blocked = true;
