--- a/node/src/test/java/wrenreach/net/NoticesTest.java
+++ b/node/src/test/java/wrenreach/net/NoticesTest.java
@@ -92,9 +92,9 @@
             answer(first);
             assertAcknowledged("a");
             sendNotice(notices, "b");
+            writeIfOpen(first, copy);
             try (Socket second = platform.accept()) {
                 readNotice(second, "b");
-                writeIfOpen(first, copy);
                 write(second, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n" + copy);
                 try (Socket third = platform.accept()) {
                     readNotice(third, "b");
