--- a/app/src/test/java/wrenreach/app/StaleResponseTest.java
+++ b/app/src/test/java/wrenreach/app/StaleResponseTest.java
@@ -5,10 +5,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against responses that are taken for the answer to a call or post that they don't belong to, with a node's process on loopback. */
+@Execution(ExecutionMode.CONCURRENT)
 class StaleResponseTest {
     private static final String REJECTING = "\"rejecting all 0.3 at 300 for 9000\", ";
     @TempDir Path folder;
