Lab: the connection of a receiver is a class of its own

Change: the anonymous class becomes CallConnection, one line is broken. The same statements in the same order.

--- a/lab/src/main/java/wrenreach/lab/Receiver.java
+++ b/lab/src/main/java/wrenreach/lab/Receiver.java
@@ -156,115 +156,122 @@
     }
 
     @Override public Network.End accepted(Network.Link link, InetSocketAddress from) {
-        return new HttpConnection(link) {
-            private String currentId = "";
-            private String answeredWith200 = "";
-            private final ResponseFaults.Connection responses = responseFaults.new Connection(this::write);
+        return new CallConnection(link);
+    }
 
-            @Override void requestBegins(String head) {
-                world.record(new Fact.Begun(world.now(), head.lines().findFirst().orElse(""),
-                        link.initiator.name, name));
-            }
+    /** A connection of a node, which carries one call at a time. */
+    private final class CallConnection extends HttpConnection {
+        private String currentId = "";
+        private String answeredWith200 = "";
+        private final ResponseFaults.Connection responses = responseFaults.new Connection(this::write);
 
-            @Override void requestReceived(Request request) {
-                answeredWith200 = "";
-                currentId = request.headers().getOrDefault("x-call-id", "");
-                Network.Party from = link.initiator;
-                List<Network.Link> unanswered = unansweredLinks.computeIfAbsent(currentId, id -> new ArrayList<>());
-                unanswered.removeIf(Network.Link::closedByInitiator);
-                // A call that the network delayed until the node had abandoned it is not a second copy by the node.
-                boolean second = !unanswered.isEmpty() && !link.closedByInitiator();
-                unanswered.add(link);
-                world.record(new Fact.Called(world.now(), currentId, from.name, name, destination, second));
-                checkOverload(from);
-                responses.requestReceived();
-                serve(request);
-            }
+        CallConnection(Network.Link link) {
+            super(link);
+        }
 
-            private void serve(Request request) {
-                String id = currentId;
-                if (failing == FaultKind.SILENT) {
-                    if (world.withProbability(0.5)) {
-                        ran(request, id);
-                    }
-                } else if (failing == FaultKind.FULL) {
-                    long wait = 400 + world.nextIntBelow(600);
-                    respond(id, "429 Too Many Requests", "", "Wait-Ms: " + wait);
-                    world.record(new Fact.ToldWait(world.now(), link.initiator.name, destination, wait * 1_000_000));
-                } else if (busySlots >= SLOTS && queue.size() >= QUEUE_LIMIT || draining) {
-                    respond(id, "503 Service Unavailable", "");
-                } else if (responseFaults.strikes(FaultKind.REJECTING)) {
-                    rejectLater(id);
-                } else if (busySlots >= SLOTS) {
-                    queue.addLast(() -> work(request, id));
-                } else {
-                    work(request, id);
+        @Override void requestBegins(String head) {
+            world.record(new Fact.Begun(world.now(), head.lines().findFirst().orElse(""),
+                    link.initiator.name, name));
+        }
+
+        @Override void requestReceived(Request request) {
+            answeredWith200 = "";
+            currentId = request.headers().getOrDefault("x-call-id", "");
+            Network.Party from = link.initiator;
+            List<Network.Link> unanswered = unansweredLinks.computeIfAbsent(currentId, id -> new ArrayList<>());
+            unanswered.removeIf(Network.Link::closedByInitiator);
+            // A call that the network delayed until the node had abandoned it is not a second copy by the node.
+            boolean second = !unanswered.isEmpty() && !link.closedByInitiator();
+            unanswered.add(link);
+            world.record(new Fact.Called(world.now(), currentId, from.name, name, destination, second));
+            checkOverload(from);
+            responses.requestReceived();
+            serve(request);
+        }
+
+        private void serve(Request request) {
+            String id = currentId;
+            if (failing == FaultKind.SILENT) {
+                if (world.withProbability(0.5)) {
+                    ran(request, id);
                 }
+            } else if (failing == FaultKind.FULL) {
+                long wait = 400 + world.nextIntBelow(600);
+                respond(id, "429 Too Many Requests", "", "Wait-Ms: " + wait);
+                world.record(new Fact.ToldWait(world.now(), link.initiator.name, destination, wait * 1_000_000));
+            } else if (busySlots >= SLOTS && queue.size() >= QUEUE_LIMIT || draining) {
+                respond(id, "503 Service Unavailable", "");
+            } else if (responseFaults.strikes(FaultKind.REJECTING)) {
+                rejectLater(id);
+            } else if (busySlots >= SLOTS) {
+                queue.addLast(() -> work(request, id));
+            } else {
+                work(request, id);
             }
+        }
 
-            private void rejectLater(String id) {
-                int currentGeneration = generation;
-                world.scheduleIn(REJECTION_NS, () -> {
-                    if (currentGeneration == generation && !closed) {
-                        respond(id, "503 Service Unavailable", "");
-                    }
-                });
-            }
+        private void rejectLater(String id) {
+            int currentGeneration = generation;
+            world.scheduleIn(REJECTION_NS, () -> {
+                if (currentGeneration == generation && !closed) {
+                    respond(id, "503 Service Unavailable", "");
+                }
+            });
+        }
 
-            private void work(Request request, String id) {
-                busySlots++;
-                boolean fails = failing == FaultKind.ERRING && world.withProbability(0.7);
-                long serviceTime = (long) ((failing == FaultKind.SLOW ? 20 : 1) * MEAN_SERVICE_NS / speedFactor()
-                        * (0.5 + world.nextIntBelow(1000) / 1000.0));
-                ran(request, id);
-                int currentGeneration = generation;
-                world.scheduleIn(serviceTime, () -> {
-                    if (currentGeneration != generation) {
-                        return;
-                    }
-                    busySlots--;
-                    if (!closed) {
-                        if (!fails) {
-                            world.record(new Fact.Delivered(world.now(), id, name));
-                            answeredWith200 = id;
-                        }
-                        respond(id, fails ? "500 Internal Server Error" : "200 OK", fails ? "" : nextBody());
-                        if (!fails && responses.lastWasSpoilt()) {
-                            // A node that can't read it whole can't tell whose response it is.
-                            world.record(new Fact.Closed(world.now(), id, name));
-                        }
+        private void work(Request request, String id) {
+            busySlots++;
+            boolean fails = failing == FaultKind.ERRING && world.withProbability(0.7);
+            long serviceTime = (long) ((failing == FaultKind.SLOW ? 20 : 1) * MEAN_SERVICE_NS / speedFactor()
+                    * (0.5 + world.nextIntBelow(1000) / 1000.0));
+            ran(request, id);
+            int currentGeneration = generation;
+            world.scheduleIn(serviceTime, () -> {
+                if (currentGeneration != generation) {
+                    return;
+                }
+                busySlots--;
+                if (!closed) {
+                    if (!fails) {
+                        world.record(new Fact.Delivered(world.now(), id, name));
+                        answeredWith200 = id;
                     }
-                    if (!queue.isEmpty()) {
-                        queue.pollFirst().run();
+                    respond(id, fails ? "500 Internal Server Error" : "200 OK", fails ? "" : nextBody());
+                    if (!fails && responses.lastWasSpoilt()) {
+                        // A node that can't read it whole can't tell whose response it is.
+                        world.record(new Fact.Closed(world.now(), id, name));
                     }
-                });
-            }
+                }
+                if (!queue.isEmpty()) {
+                    queue.pollFirst().run();
+                }
+            });
+        }
 
-            private void ran(Request request, String id) {
-                world.record(new Fact.Ran(world.now(), id, name, request.headers().getOrDefault("idempotency-key", ""),
-                        link.closedByInitiator()));
-            }
+        private void ran(Request request, String id) {
+            world.record(new Fact.Ran(world.now(), id, name, request.headers().getOrDefault("idempotency-key", ""),
+                    link.closedByInitiator()));
+        }
 
-            private void respond(String id, String status, String body, String... headers) {
-                forget(id);
-                currentId = "";
-                responses.respond(response(status, body, headers));
-            }
+        private void respond(String id, String status, String body, String... headers) {
+            forget(id);
+            currentId = "";
+            responses.respond(response(status, body, headers));
+        }
 
-            @Override public void closed() {
-                super.closed();
-                if (!answeredWith200.isEmpty()) {
-                    world.record(new Fact.Closed(world.now(), answeredWith200, name));
-                }
-                forget(currentId);
+        @Override public void closed() {
+            super.closed();
+            if (!answeredWith200.isEmpty()) {
+                world.record(new Fact.Closed(world.now(), answeredWith200, name));
             }
+            forget(currentId);
+        }
 
-            private void forget(String id) {
-                unansweredLinks.computeIfPresent(id, (key, links) -> {
-                    links.remove(link);
-                    return links.isEmpty() ? null : links;
-                });
-            }
-        };
+        private void forget(String id) {
+            unansweredLinks.computeIfPresent(id, (key, links) -> {
+                links.remove(link);
+                return links.isEmpty() ? null : links;
+            });
+        }
     }
 }
--- a/lab/src/main/java/wrenreach/lab/Scenario.java
+++ b/lab/src/main/java/wrenreach/lab/Scenario.java
@@ -170,7 +170,8 @@
             }
         }
         List<Fault> faults = new ArrayList<>();
-        List<FaultKind> kinds = Arrays.stream(FaultKind.values()).filter(kind -> kind.environment != FaultKind.Environment.PROCESSES && kind.ordinal() < FaultKind.REJECTING.ordinal()).toList();
+        List<FaultKind> kinds = Arrays.stream(FaultKind.values())
+                .filter(kind -> kind.environment != FaultKind.Environment.PROCESSES && kind.ordinal() < FaultKind.REJECTING.ordinal()).toList();
         int count = random.nextInt(6);
         for (int i = 0; i < count; i++) {
             FaultKind kind = kinds.get(random.nextInt(kinds.size()));
