--- a/app/src/test/java/wrenreach/app/ServeTest.java
+++ b/app/src/test/java/wrenreach/app/ServeTest.java
@@ -23,8 +23,10 @@
     private static final Path SAMPLE = Path.of("deploy/sample.json");
     @TempDir Path folder;
 
+    /** Replaces the operator's file at once: an empty one, as it is in the middle of a write in place, is valid and would be applied. */
     private Path operator(String text) throws IOException {
-        return Files.writeString(folder.resolve("operator.toml"), text);
+        Path next = Files.writeString(folder.resolve("operator.next"), text);
+        return Files.move(next, folder.resolve("operator.toml"), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
     }
 
     /** Starts a node process; its log goes to the given file. */
