Requests that are refused keep no bodies; reads from clients share a budget

Cause: a pending request kept its request, body included, until its reply was written at the end of the iteration, and one look at the sockets reads up to 256 KB from each client, with no bound over all of them.

Evidence: a heap dump at the end has 2,698 refusals and 2,698 bodies of 16,000 bytes, 43.2 of 49.1 MB, on 201 connections; one mail is held.

Change: PendingRequest does not keep the request. ClientReadAllocator bounds what one look at the sockets reads from all clients, in bytes and in requests: a body-free iteration could still keep usual clients waiting.

--- a/app/src/test/java/wrenreach/app/ServeProcess.java
+++ b/app/src/test/java/wrenreach/app/ServeProcess.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Starts a node as a process from the classes under test, and helps with its clients and its discovery. */
 final class ServeProcess {
@@ -27,11 +29,18 @@
 
     /** Starts a node on the folder's state and waits until it serves; its log is appended to a file in the folder. */
     static Process start(Path folder, String json, int listenerPort) throws Exception {
+        return start(folder, json, listenerPort, List.of("-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC"), List.of());
+    }
+
+    /** The same with these options of the JVM and further arguments of the command. */
+    static Process start(Path folder, String json, int listenerPort, List<String> jvmOptions, List<String> arguments) throws Exception {
         Path config = Files.writeString(folder.resolve("config.json"), json);
-        Process node = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "wrenreach.app.Launch", "serve", "--config",
-                config.toString(), "--state", folder.resolve("state").toString())
-                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(jvmOptions);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "wrenreach.app.Launch", "serve", "--config",
+                config.toString(), "--state", folder.resolve("state").toString()));
+        command.addAll(arguments);
+        Process node = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile())).start();
         for (int i = 0; i < 2000; i++) {
             if (firstReplyByte(listenerPort, "PING\r\n") == '+') {
                 return node;
--- a/node/src/main/java/wrenreach/net/SubmissionServer.java
+++ b/node/src/main/java/wrenreach/net/SubmissionServer.java
@@ -1,7 +1,6 @@
 package wrenreach.net;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
@@ -40,14 +39,10 @@
     public static final int MAX_BODY_BYTES = 64 * 1024;
     /** The longest inline message of RESP, such as an inline command. */
     private static final int MAX_LINE_BYTES = 1024;
-    /** Bytes that one read from a client's socket takes at most. */
-    private static final int MAX_READ_BYTES = 16 * 1024;
-    /** Reads from one client's socket each time that the loop looks at its sockets. */
-    private static final int MAX_READS_PER_ITERATION = 16;
     /** Connections accepted each time that the loop looks at its sockets. */
     private static final int MAX_ACCEPTS_PER_ITERATION = 32;
     /** Memory that one client's unfinished request may take. */
-    public static final int MAX_CLIENT_BYTES = MAX_BODY_BYTES + MAX_READ_BYTES;
+    public static final int MAX_CLIENT_BYTES = MAX_BODY_BYTES + ClientReadAllocator.MAX_READ_BYTES;
     /** Time for a whole request, from its first byte; for the first request of a connection, from the accept. */
     private static final long REQUEST_TIMEOUT_MS = 2000;
     /** How long a client's connection may be idle between requests. */
@@ -68,19 +63,20 @@
     /** Receives the requests of clients, on the event loop. */
     public interface Host {
         /** A request was read; it is answered if its reply is set before the iteration ends. */
-        void onRequest(PendingRequest request);
+        void onRequest(Request request, PendingRequest pending);
     }
 
-    /** A request that has not been answered yet. */
+    /**
+     * A request that has not been answered yet. It does not keep the request: a refused one would hold its body until the iteration ends,
+     * and nothing bounds how many are refused in one iteration.
+     */
     public static final class PendingRequest implements ReplyHandle {
-        public final Request request;
         private final ClientConnection client;
         /** Whether nothing more is read from the client after this request. */
         private final boolean last;
         private Reply reply;
 
-        PendingRequest(Request request, ClientConnection client, boolean last) {
-            this.request = request;
+        PendingRequest(ClientConnection client, boolean last) {
             this.client = client;
             this.last = last;
         }
@@ -164,11 +160,7 @@
                 .handler(new AcceptFaults())
                 .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                // Small buffers bound the memory, as the bytes of an unfinished request stay in the buffers that they were read to.
-                // Reads until nothing is left, so that a request and the close of its client are seen in one iteration.
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(256, 1024, MAX_READ_BYTES)
-                                .respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_ITERATION))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new ClientReadAllocator(group.next()))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         if (channel.config() instanceof DuplexChannelConfig socket) {
@@ -290,6 +282,7 @@
 
         @Override protected void channelRead0(ChannelHandlerContext context, Request request) {
             partialRequestLimiter.requestCompleted();
+            ClientReadAllocator.requestRead(context.channel());
             boolean last = openRequests.size() >= MAX_OPEN_REQUESTS || request instanceof Request.Malformed malformed && malformed.close();
             if (closed || !openRequests.isEmpty() && openRequests.get(openRequests.size() - 1).last) {
                 return;
@@ -305,10 +298,10 @@
             if (openRequests.isEmpty()) {
                 clientsAwaitingReplies.add(this);
             }
-            PendingRequest pending = new PendingRequest(last && !(request instanceof Request.Malformed)
-                    ? new Request.Malformed("too many requests at once", true) : request, this, last);
+            PendingRequest pending = new PendingRequest(this, last);
             openRequests.add(pending);
-            host.onRequest(pending);
+            host.onRequest(last && !(request instanceof Request.Malformed) ? new Request.Malformed("too many requests at once", true) : request,
+                    pending);
         }
 
         private void writeReplies() {
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -546,17 +546,17 @@
 
     // ---- Clients ----
 
-    @Override public void onRequest(SubmissionServer.PendingRequest pending) {
-        runInIteration(() -> handleRequest(pending));
+    @Override public void onRequest(Request request, SubmissionServer.PendingRequest pending) {
+        runInIteration(() -> handleRequest(request, pending));
     }
 
-    private void handleRequest(SubmissionServer.PendingRequest pending) {
+    private void handleRequest(Request request, SubmissionServer.PendingRequest pending) {
         iterationTime();
-        if (pending.request instanceof Request.Ping) {
+        if (request instanceof Request.Ping) {
             pending.reply(new Reply.Pong());
-        } else if (pending.request instanceof Request.Malformed malformed) {
+        } else if (request instanceof Request.Malformed malformed) {
             pending.reply(new Reply.Error(malformed.reason(), malformed.close()));
-        } else if (pending.request instanceof Request.Submit submit) {
+        } else if (request instanceof Request.Submit submit) {
             admit(submit.submission(), submit.lifetimeMs(), pending);
         }
     }
--- a/node/src/test/java/wrenreach/net/SubmissionServerTest.java
+++ b/node/src/test/java/wrenreach/net/SubmissionServerTest.java
@@ -30,8 +30,8 @@
     private final CompletableFuture<InetSocketAddress> listenAddress = new CompletableFuture<>();
     private final List<Socket> clients = new ArrayList<>();
 
-    @Override public void onRequest(SubmissionServer.PendingRequest pending) {
-        pending.reply(pending.request instanceof Request.Malformed malformed ? new Reply.Error(malformed.reason(), true) : new Reply.Pong());
+    @Override public void onRequest(Request request, SubmissionServer.PendingRequest pending) {
+        pending.reply(request instanceof Request.Malformed malformed ? new Reply.Error(malformed.reason(), true) : new Reply.Pong());
         loop.execute(server::flush);
     }
 
