Requests read while records are being written keep their place until answered

Cause: SubmissionServer.flush wrote the replies that were set and forgot all requests of the client. During a write of the store clients are read for the next iteration; their replies were set later and went nowhere.

Change: a request leaves the list with its reply only; replies behind one that is not set wait, so that their order holds.

--- a/node/src/main/java/wrenreach/net/SubmissionServer.java
+++ b/node/src/main/java/wrenreach/net/SubmissionServer.java
@@ -23,7 +23,9 @@
 import io.netty.handler.codec.redis.RedisEncoder;
 import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -31,8 +33,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The listener for clients, which submit mails in RESP (the Redis protocol). Replies wait for the end of the iteration and go out in
- * the order of the requests. Owned by the event loop.
+ * The listener for clients, which submit mails in RESP (the Redis protocol). Replies wait for the end of the iteration that sets them and
+ * go out in the order of the requests. Owned by the event loop.
  */
 public final class SubmissionServer {
     /** The protocol's limit for the body of a mail. */
@@ -62,7 +64,7 @@
 
     /** Receives the requests of clients, on the event loop. */
     public interface Host {
-        /** A request was read; it is answered if its reply is set before the iteration ends. */
+        /** A request was read; it is answered by the first {@link #flush} after its reply is set. */
         void onRequest(Request request, PendingRequest pending);
     }
 
@@ -222,7 +224,7 @@
         }
     }
 
-    /** Sends the replies of the iteration. */
+    /** Sends the replies that are set. */
     public void flush() {
         List<ClientConnection> answered = new ArrayList<>(clientsAwaitingReplies);
         clientsAwaitingReplies.clear();
@@ -250,7 +252,8 @@
 
     private final class ClientConnection extends SimpleChannelInboundHandler<Request> {
         final PartialRequestLimiter partialRequestLimiter = new PartialRequestLimiter(MAX_CLIENT_BYTES);
-        private final List<PendingRequest> openRequests = new ArrayList<>(2);
+        /** Requests without a reply, in the order in which they were read. */
+        private final Deque<PendingRequest> openRequests = new ArrayDeque<>(2);
         private ChannelHandlerContext ctx;
         /** When it connected, or its last request was read or answered; nanoseconds of the loop's ticker. */
         private long lastActivityAt = nowNanos();
@@ -284,7 +287,7 @@
             partialRequestLimiter.requestCompleted();
             ClientReadAllocator.requestRead(context.channel());
             boolean last = openRequests.size() >= MAX_OPEN_REQUESTS || request instanceof Request.Malformed malformed && malformed.close();
-            if (closed || !openRequests.isEmpty() && openRequests.get(openRequests.size() - 1).last) {
+            if (closed || !openRequests.isEmpty() && openRequests.getLast().last) {
                 return;
             }
             if (last) {
@@ -304,21 +307,27 @@
                     pending);
         }
 
+        /**
+         * Writes the replies that are set, in the order of the requests. Those behind a request without a reply wait with it: it was read while
+         * the records of the iteration were being written, and belongs to the next one.
+         */
         private void writeReplies() {
-            boolean close = closing || inputClosed;
             boolean malformed = false;
-            for (PendingRequest pending : openRequests) {
-                if (pending.reply != null && !closed) {
-                    ctx.write(pending.reply);
-                    malformed |= pending.reply instanceof Reply.Error error && error.close();
+            while (!openRequests.isEmpty() && openRequests.getFirst().reply != null) {
+                Reply reply = openRequests.removeFirst().reply;
+                if (!closed) {
+                    ctx.write(reply);
+                    malformed |= reply instanceof Reply.Error error && error.close();
                 }
             }
-            openRequests.clear();
+            if (!openRequests.isEmpty()) {
+                clientsAwaitingReplies.add(this);
+            }
             lastActivityAt = nowNanos();
             if (!closed) {
                 ctx.flush();
             }
-            if (close || malformed) {
+            if (closing || inputClosed || malformed) {
                 closeIfIdle(true, malformed ? ClosedConnections.Reason.UNREADABLE
                         : inputClosed ? ClosedConnections.Reason.CLOSED_BY_CLIENT : ClosedConnections.Reason.SHUTDOWN);
             }
