Shutdown: requests read during the last write are refused before the end

What callers would see: a planned restart of a node whose store waits for the disk closes connections whose request it has read, with no answer.

Cause: finish waits for the iteration in progress only; what is read while its records are being written is decided in the next one, which never comes.

Change: what is undecided when the last iteration ends is answered -BUSY. Nothing of it was recorded or sent, so handing it in again is harmless.

Result: AsynchronousWriteTest's third test failed before (no reply within 20 s) and passes.

--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -392,11 +392,22 @@
 
     private boolean finishIfRequested() {
         if (stopAfterIteration) {
+            refuseUndecidedMails();
             finish(0);
         }
         return stopAfterIteration;
     }
 
+    /** No iteration follows: refuses what was read while the records of this one were being written. */
+    private void refuseUndecidedMails() {
+        newMails.forEach((mail, replyHandle) -> {
+            replyHandle.reply(new Reply.Busy(0));
+            completeMail(mail);
+        });
+        newMails.clear();
+        submissionServer.flush();
+    }
+
     /**
      * Handles a failed write of the iteration's records. What depended on them is not promised: mails accepted in this iteration are
      * refused, and attempts stay unsent. What has already happened (ends of attempts, endings of mails) can't be undone and is recorded
--- a/node/src/test/java/wrenreach/node/AsynchronousWriteTest.java
+++ b/node/src/test/java/wrenreach/node/AsynchronousWriteTest.java
@@ -146,4 +146,17 @@
         complete(secondWrite);
         assertThat(List.of(readLine(client), readLine(client), readLine(client))).containsExactly("+OK", "+PONG", "+OK");
     }
+
+    /** Guards against a shutdown that ends the process with requests unanswered that were read during its last write. */
+    @Test void requestReadDuringTheLastWriteIsRefusedBeforeTheProcessEnds() throws Exception {
+        Socket first = submit("a1");
+        Runnable write = nextWrite();
+        Socket second = submit("b1");
+        node.loop().submit(node::finish).get();
+        complete(write);
+        assertThat(readLine(first)).isEqualTo("+OK");
+        assertThat(readLine(second)).isEqualTo("-BUSY");
+        assertThat(node.stopped().get(20, TimeUnit.SECONDS)).isZero();
+        assertThat(Journal.read(stateFolder)).extracting(mail -> mail.submission.id()).containsExactly("a1");
+    }
 }
