A client's connection that is due while its request is open keeps a deadline

What callers would see: descriptors that are not given back; a connection that was due (idle, one too many) while its request waited for the disk was never closed by time or number any more.

Cause: scheduleClose takes it out of the lists that timeouts go by, and the close is passed over while a request is open.

Change: a connection that is not closed then goes back to its list.

--- a/node/src/main/java/wrenreach/net/SubmissionServer.java
+++ b/node/src/main/java/wrenreach/net/SubmissionServer.java
@@ -353,7 +353,8 @@
             boolean hadRequest = clientsWithRequest.remove(this);
             clientsWithoutRequest.remove(this);
             ctx.executor().schedule(() -> {
-                if (closeScheduled && !closed && partialRequestLimiter.hasPartialRequest()) {
+                if (closeScheduled && !closed && (partialRequestLimiter.hasPartialRequest() || !openRequests.isEmpty())) {
+                    // Not closed now, so it is still counted, and closed when it is due again.
                     (hadRequest ? clientsWithRequest : clientsWithoutRequest).add(this);
                 } else if (closeScheduled) {
                     closeIfIdle(closing, why);
--- a/node/src/test/java/wrenreach/net/SubmissionServerTest.java
+++ b/node/src/test/java/wrenreach/net/SubmissionServerTest.java
@@ -14,8 +14,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -24,13 +26,22 @@
 /** The listener for clients: each closed connection is counted with its reason, and requests read before the close are answered. */
 class SubmissionServerTest implements SubmissionServer.Host {
     private static final int MAX_CLIENTS = 8;
+    /** How long a connection may be idle. */
+    private static final int IDLE_TIMEOUT_MS = 5000;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final SubmissionServer server = new SubmissionServer(group, NioServerSocketChannel::new, this, MAX_CLIENTS);
     private final CompletableFuture<InetSocketAddress> listenAddress = new CompletableFuture<>();
     private final List<Socket> clients = new ArrayList<>();
+    /** Requests that get no reply before the test sends it. */
+    private final BlockingQueue<SubmissionServer.PendingRequest> withheld = new LinkedBlockingQueue<>();
+    private volatile boolean withholdReplies;
 
     @Override public void onRequest(Request request, SubmissionServer.PendingRequest pending) {
+        if (withholdReplies) {
+            withheld.add(pending);
+            return;
+        }
         pending.reply(request instanceof Request.Malformed malformed ? new Reply.Error(malformed.reason(), true) : new Reply.Pong());
         loop.execute(server::flush);
     }
@@ -102,6 +113,20 @@
         awaitClosed(ClosedConnections.Reason.IDLE, 1);
     }
 
+    /** Guards against connections without a deadline: one that was due while its request was open was never closed any more. */
+    @Test void connectionWhoseRequestIsOpenWhenItIsDueIsClosedLater() throws Exception {
+        withholdReplies = true;
+        Socket client = connect("PING\r\n");
+        SubmissionServer.PendingRequest pending = withheld.poll(20, TimeUnit.SECONDS);
+        Thread.sleep(IDLE_TIMEOUT_MS + 1000);
+        loop.submit(() -> {
+            pending.reply(new Reply.Pong());
+            server.flush();
+        }).get();
+        assertThat(readToEnd(client)).isEqualTo("+PONG\r\n");
+        awaitClosed(ClosedConnections.Reason.IDLE, 1);
+    }
+
     /** A client that stops in the middle of a request and stays connected gets an error within 3 s. */
     @Test void unfinishedRequestIsAnsweredWithAnErrorInTime() throws Exception {
         long startedAt = System.nanoTime();
