Requests in many pieces stay within the memory that a client is reckoned with

Cause: each piece of a word occupied the buffer that it was read to, 256 bytes at least, up to 1,024 pieces; the number of clients is derived from 80 KB for each.

Evidence: a trial build shows "Cannot reserve 16384 bytes of direct buffer memory" on clients' connections, and the collector's log a heap of 13 MB.

Change: 16 pieces at most, put together outside the heap.

Result: CodecTest's new test fails without the limit (82,176 bytes after 320 bytes of a body) and passes.

--- a/node/src/main/java/wrenreach/net/SubmissionServer.java
+++ b/node/src/main/java/wrenreach/net/SubmissionServer.java
@@ -45,6 +45,8 @@
     private static final int MAX_ACCEPTS_PER_ITERATION = 32;
     /** Memory that one client's unfinished request may take. */
     public static final int MAX_CLIENT_BYTES = MAX_BODY_BYTES + ClientReadAllocator.MAX_READ_BYTES;
+    /** Pieces that a word of a request may be held in before they are put together: each occupies the buffer that it was read to. */
+    private static final int MAX_WORD_PIECES = 16;
     /** Time for a whole request, from its first byte; for the first request of a connection, from the accept. */
     private static final long REQUEST_TIMEOUT_MS = 2000;
     /** How long a client's connection may be idle between requests. */
@@ -160,7 +162,7 @@
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_ITERATION))
                 .handler(new AcceptFaults())
-                .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
+                .childOption(ChannelOption.ALLOCATOR, Buffers.CLIENT_ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new ClientReadAllocator(group.next()))
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -185,9 +187,11 @@
 
     /** The handlers between the bytes of a client and its requests and replies. */
     static ChannelHandler[] codecs(int bodyLimit) {
+        RedisBulkStringAggregator wordAggregator = new RedisBulkStringAggregator();
+        wordAggregator.setMaxCumulationBufferComponents(MAX_WORD_PIECES);
         return new ChannelHandler[] {
             new RedisDecoder(MAX_LINE_BYTES, FixedRedisMessagePool.INSTANCE, true), new RequestSizeLimiter(bodyLimit),
-            new RedisBulkStringAggregator(), new RedisArrayAggregator(RequestSizeLimiter.MAX_WORDS, 1), new RequestDecoder(),
+            wordAggregator, new RedisArrayAggregator(RequestSizeLimiter.MAX_WORDS, 1), new RequestDecoder(),
             new RedisEncoder(), new ReplyEncoder()};
     }
 
--- a/node/src/test/java/wrenreach/net/CodecTest.java
+++ b/node/src/test/java/wrenreach/net/CodecTest.java
@@ -28,6 +28,8 @@
 
 /** The formats of requests and replies of clients, calls, lists, notices and addresses. */
 class CodecTest {
+    /** The smallest buffer that a client's bytes are read to. */
+    private static final int SMALLEST_READ_BUFFER = 256;
     private static final Submission MAIL =
             new Submission("9b1f", "7f3a", "notice", "acme", "5c0f", 7, new byte[] {0, 13, 10, -1});
     private final EmbeddedChannel channel = new EmbeddedChannel(SubmissionServer.codecs(64));
@@ -48,6 +50,23 @@
         return text.toString();
     }
 
+    /** Guards against requests in very many pieces, each of which occupied the buffer that it was read to: several times the bound of a client. */
+    @Test void requestInManyPiecesStaysWithinTheMemoryOfAClient() {
+        EmbeddedChannel client = new EmbeddedChannel(SubmissionServer.codecs(SubmissionServer.MAX_BODY_BYTES));
+        client.config().setAllocator(Buffers.CLIENT_ALLOCATOR);
+        long usedBefore = Buffers.CLIENT_ALLOCATOR.metric().usedDirectMemory() + Buffers.CLIENT_ALLOCATOR.metric().usedHeapMemory();
+        String start = "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$1\r\nm\r\n$1\r\nc\r\n$" + SubmissionServer.MAX_BODY_BYTES + "\r\n";
+        client.writeInbound(bytes(start));
+        for (int i = 0; i < SubmissionServer.MAX_BODY_BYTES; i++) {
+            client.writeInbound(client.alloc().ioBuffer(SMALLEST_READ_BUFFER).writeByte('x'));
+            long used = Buffers.CLIENT_ALLOCATOR.metric().usedDirectMemory() + Buffers.CLIENT_ALLOCATOR.metric().usedHeapMemory() - usedBefore;
+            assertThat(used).as("bytes held after %d bytes of the body", i).isLessThanOrEqualTo(SubmissionServer.MAX_CLIENT_BYTES);
+        }
+        client.writeInbound(bytes("\r\n"));
+        assertThat((Object) client.readInbound()).isInstanceOf(Request.class);
+        assertThat(Buffers.CLIENT_ALLOCATOR.metric().usedHeapMemory()).as("heap for buffers of clients").isZero();
+    }
+
     @Test void submissionIsDecodedForAnyBodyAndAnyFragmentation() {
         String text = enqueue("7f3a", "9b1f", "c=notice,t=acme,d=8000,k=5c0f,dest=7,again=1", "\0\r\n\u00ff");
         for (char c : text.toCharArray()) {
