--- a/review/stand-2/Settings.java
+++ b/review/stand-2/Settings.java
@@ -7,7 +7,7 @@
 final class Settings {
     private final List<String> classes = new ArrayList<>();
     private String discovery = "push";
-    private int maxCalls = 16;
+    private String tenants = "\"Tenants\":[{\"Name\":\"taichung-branch\",\"QuotaPerS\":60,\"Share\":1.0}],";
 
     /** Adds a queue class. effect: pure, token or side_effect; times in seconds; ordered: whether messages of a key go one by one. */
     Settings with(String name, String effect, double promise, double deadline, double window, boolean ordered) {
@@ -22,16 +22,16 @@
         return this;
     }
 
-    Settings maxCalls(int calls) {
-        maxCalls = calls;
+    /** The site has no tenants. */
+    Settings withoutTenants() {
+        tenants = "";
         return this;
     }
 
     String json() {
         return "{\"Me\":0,\"GroupSize\":2,\"Zone\":0,\"Areas\":[\"east\",\"west\"],\"Kinds\":[\"chain-supplier\",\"local-yard\"],\"Tick\":0.005,"
                 + "\"Discovery\":\"" + discovery + "\",\"Weights\":\"rough\",\"OverShareWorth\":0.1,\"Classes\":[" + String.join(",", classes) + "],"
-                + "\"Tenants\":[{\"Name\":\"taichung-branch\",\"QuotaPerS\":60,\"Share\":1.0}],"
-                + "\"FamilyInfo\":{\"MaxCalls\":" + maxCalls + ",\"KindApart\":[false,false],\"BatchByKind\":[1,1],\"Decay\":\"even\"},"
+                + tenants + "\"FamilyInfo\":{\"MaxCalls\":16,\"KindApart\":[false,false],\"BatchByKind\":[1,1],\"Decay\":\"even\"},"
                 + "\"Feedback\":{\"How\":\"piggyback\",\"Names\":[\"x0\",\"x1\"]},"
                 + "\"Limits\":{\"MaxOpen\":300,\"TryLimit\":6,\"MaxStreams\":1,\"ParallelTries\":false,\"Cancelling\":true,\"RetryAfter\":false,"
                 + "\"MaxRetryAfter\":2,\"ConnIdle\":5,\"ConnectTimeout\":1},"
