A record that can't be read costs the others nothing

Entry.decode took fields that are cut short, and bytes left over, for sound. StoreLedger.load had the same.

StoreLedger skips, logs and removes such records.

--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -1,13 +1,13 @@
 package wrenreach.ledger;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -60,6 +60,8 @@
     private static final char DAMAGED_RANGE = 'h';
     /** The key of the time base. */
     private static final char CLOCK = 'b';
+    /** First characters of the keys of records that refer to no other record. */
+    private static final Set<Character> OWN_RECORDS = Set.of(ACCEPTED, REMEMBERED, CLOCK, DAMAGED_RANGE);
     /** Part of the size limit that is reserved for outstanding mails, for when the disk is full. */
     private static final double RESERVED_SHARE = 0.125;
     /** Bytes that the record of an attempt or of an ending may take. */
@@ -199,35 +201,46 @@
         List<String> others = new ArrayList<>();
         Set<String> handledRanges = new TreeSet<>();
         Map<Long, String> ended = new TreeMap<>();
+        List<String> unreadable = new ArrayList<>();
         store.forEach((key, value) -> {
+            if (!OWN_RECORDS.contains(key.charAt(0))) {
+                others.add(key);
+                return;
+            }
             try {
                 if (key.charAt(0) == ACCEPTED) {
-                    Entry.Accepted accepted = (Entry.Accepted) Entry.decode(java.util.Arrays.copyOfRange(value, 8, value.length));
+                    Entry.Accepted accepted = decode(Entry.Accepted.class, Arrays.copyOfRange(value, Math.min(Long.BYTES, value.length), value.length));
                     HeldMail held = new HeldMail(accepted.submission(), accepted.deadline());
                     held.accepted = true;
-                    byOrder.put(ByteBuffer.wrap(value).getLong(), held);
+                    byOrder.put(readLong(value), held);
                     byId.put(accepted.id(), held);
                 } else if (key.charAt(0) == REMEMBERED) {
-                    long at = ByteBuffer.wrap(value).getLong();
+                    long at = readLong(value);
                     while (ended.putIfAbsent(at, key.substring(1)) != null) {
                         at++;
                     }
                 } else if (key.charAt(0) == CLOCK) {
-                    timeBase = ((Entry.Clock) Entry.decode(value)).base();
-                } else if (key.charAt(0) == DAMAGED_RANGE) {
-                    handledRanges.add(key);
+                    timeBase = decode(Entry.Clock.class, value).base();
                 } else {
-                    others.add(key);
+                    handledRanges.add(key);
                 }
             } catch (IOException e) {
-                throw new UncheckedIOException(e);
+                unreadable.add(key);
             }
         });
         // They come in the order of the keys, so that attempts (c) come before the records that refer to them (n).
         List<String> orphans = new ArrayList<>();
         for (String key : others) {
-            apply(Entry.decode(store.get(key)), byId, key, orphans);
+            byte[] value = store.get(key);
+            try {
+                apply(Entry.decode(value), byId, key, orphans);
+            } catch (IOException e) {
+                unreadable.add(key);
+                applyUnreadable(key, byId);
+            }
         }
+        reportUnreadable(unreadable);
+        unreadable.forEach(pending::delete);
         // Each damaged range counts only once: it says nothing of mails that were accepted after it was found.
         Set<String> lostRanges = new TreeSet<>();
         found.damagedRanges().stream().filter(range -> range.lostBatches() > 0).forEach(range -> lostRanges.add(DAMAGED_RANGE + range.file() + "@" + range.offset()));
@@ -253,6 +266,46 @@
                 "store: {hole}; owed mails are taken to have gone out", "hole", range.describe()));
     }
 
+    private static <T extends Entry> T decode(Class<T> type, byte[] value) throws IOException {
+        Entry entry = Entry.decode(value);
+        if (!type.isInstance(entry)) {
+            throw new IOException("not a record of its kind");
+        }
+        return type.cast(entry);
+    }
+
+    private static long readLong(byte[] value) throws IOException {
+        if (value.length < Long.BYTES) {
+            throw new IOException("a record of " + value.length + " bytes");
+        }
+        return ByteBuffer.wrap(value).getLong();
+    }
+
+    /**
+     * Prevents a second effect at the receiver: an attempt that can't be read counts as one that may have run, and an ending as one without
+     * advice. A mail whose attempt is not known to have never run counts as attempted anyway.
+     */
+    private static void applyUnreadable(String key, Map<String, HeldMail> byId) {
+        int numberAt = key.indexOf('\0');
+        HeldMail held = byId.get(key.substring(1, numberAt < 0 ? key.length() : numberAt));
+        if (held == null) {
+            return;
+        }
+        if (key.charAt(0) == ATTEMPT) {
+            held.attempts.add(new RecordedAttempt(held.attempts.size(), "", 0, 0, false));
+        } else if (key.charAt(0) == ENDING) {
+            held.ending = new Ending(false, 0);
+        }
+    }
+
+    private static void reportUnreadable(List<String> keys) {
+        if (!keys.isEmpty()) {
+            LogEvent.log(LOG, Level.ERROR, "store.unreadable",
+                    "store: {records} records can't be read and were removed, the first is {key}; all others count",
+                    "records", keys.size(), "key", keys.get(0).replace('\0', ' '));
+        }
+    }
+
     private static void apply(Entry entry, Map<String, HeldMail> byId, String key, List<String> orphans) {
         HeldMail held = byId.get(entry.id());
         if (held == null) {
--- a/ledger/src/test/java/wrenreach/ledger/StoreLedgerTest.java
+++ b/ledger/src/test/java/wrenreach/ledger/StoreLedgerTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -21,6 +22,9 @@
 import wrenreach.held.Ledger;
 import wrenreach.held.RecordedAttempt;
 import wrenreach.held.Submission;
+import wrenreach.store.Batch;
+import wrenreach.store.FolderDisk;
+import wrenreach.store.Store;
 
 class StoreLedgerTest {
     /** Bytes that the store may take. */
@@ -238,4 +242,40 @@
         assertThat(runCommand("bench", bench.toString(), "--records", "1")).as("not over another store").isEqualTo(1);
         assertThat(runCommand("bench", bench.toString(), "--records", "x")).isEqualTo(2);
     }
+
+    /** Changes records of the store behind the ledger's back. */
+    private void change(Batch batch) throws IOException {
+        try (Store store = Store.open(new FolderDisk(folder.resolve("store")), LIMIT, false, 5)) {
+            store.write(batch);
+        }
+    }
+
+    /** Guards against a record that can't be read and keeps the node from starting: all that was owed was lost (review/6, in the store). */
+    @ParameterizedTest
+    @ValueSource(strings = {"tlong", "tz", "cz\0" + "1", "nz\0" + "0", "eb", "ry", "rnew", "b"})
+    void recordThatCannotBeReadCostsTheOthersNothing(String key) throws IOException {
+        for (int bytes : new int[] {0, 1, 7, 9, 200}) {
+            try (StoreLedger ledger = open(false, 1000)) {
+                fill(ledger);
+            }
+            byte[] noise = new byte[bytes];
+            Arrays.fill(noise, (byte) 0xC3);
+            change(new Batch().put(key, noise));
+            try (StoreLedger ledger = open(false, 1000)) {
+                assertThat(ids(ledger)).isEqualTo(key.equals("tz") ? List.of("b") : List.of("z", "b"));
+                if (key.startsWith("c")) {
+                    assertThat(ledger.outstanding().get(0).attempts).as("the attempt may have run").filteredOn(attempt -> !attempt.neverRan()).isNotEmpty();
+                } else if (key.startsWith("e")) {
+                    assertThat(ledger.outstanding().get(1).ending).as("it has ended").isNotNull();
+                }
+                ledger.accepted(mail("next", 1));
+                write(ledger);
+                ledger.outstanding().forEach(ledger::completed);
+                write(ledger);
+            }
+            try (StoreLedger ledger = open(false, 1000)) {
+                assertThat(ids(ledger)).isEmpty();
+            }
+        }
+    }
 }
--- a/node/src/main/java/wrenreach/held/Entry.java
+++ b/node/src/main/java/wrenreach/held/Entry.java
@@ -10,6 +10,15 @@
 
 /** One record of the ledger and its form on disk. */
 public sealed interface Entry {
+    /** The first byte of the content of {@link Accepted}. */
+    int ACCEPTED_TYPE = 1;
+    /** The highest type. */
+    int LAST_TYPE = 6;
+    /** Most bytes of a record's content. */
+    int MAX_CONTENT_BYTES = 1 << 20;
+    /** Fewest bytes of a record's content: the type and an empty id. */
+    int MIN_CONTENT_BYTES = 3;
+
     /** The id of the mail that the record is about. */
     String id();
 
@@ -46,7 +55,7 @@
         try {
             if (this instanceof Accepted accepted) {
                 Submission submission = accepted.submission;
-                out.writeByte(1);
+                out.writeByte(ACCEPTED_TYPE);
                 writeString(out, submission.id());
                 out.writeLong(accepted.deadline);
                 writeString(out, submission.key());
@@ -87,16 +96,38 @@
         return bytes.toByteArray();
     }
 
-    /** Reads what {@link #encode} wrote; throws IOException if the bytes are no such record. */
+    /** Reads what {@link #encode} wrote; throws IOException if the bytes are no such record, or more than one. */
     static Entry decode(byte[] bytes) throws IOException {
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+        Entry entry = decode(in);
+        if (in.available() > 0) {
+            throw new IOException(in.available() + " bytes behind the record's last field");
+        }
+        return entry;
+    }
+
+    /** The length of the record's content that begins here, as its fields tell it; -1 if no record does. */
+    static int lengthOf(byte[] bytes, int from) {
+        if (from >= bytes.length || bytes[from] < ACCEPTED_TYPE || bytes[from] > LAST_TYPE) {
+            return -1;
+        }
+        ByteArrayInputStream in = new ByteArrayInputStream(bytes, from, bytes.length - from);
+        try {
+            decode(new DataInputStream(in));
+            return bytes.length - from - in.available();
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    private static Entry decode(DataInputStream in) throws IOException {
         int type = in.readByte();
         String id = readString(in);
         return switch (type) {
-            case 1 -> {
+            case ACCEPTED_TYPE -> {
                 long deadline = in.readLong();
-                yield new Accepted(new Submission(id, readString(in), readString(in), readString(in), readString(in), in.readInt(),
-                        in.readNBytes(in.readInt())), deadline);
+                yield new Accepted(new Submission(id, readString(in), readString(in), readString(in), readString(in), readDestination(in),
+                        readBytes(in, in.readInt())), deadline);
             }
             case 2 -> new AttemptStarted(id,
                     new RecordedAttempt(in.readInt(), readString(in), in.readInt(), in.readLong(), false));
@@ -115,6 +146,21 @@
     }
 
     private static String readString(DataInputStream in) throws IOException {
-        return new String(in.readNBytes(in.readUnsignedShort()), StandardCharsets.UTF_8);
+        return new String(readBytes(in, in.readUnsignedShort()), StandardCharsets.UTF_8);
+    }
+
+    private static int readDestination(DataInputStream in) throws IOException {
+        int destination = in.readInt();
+        if (destination < 0) {
+            throw new IOException("a destination of " + destination);
+        }
+        return destination;
+    }
+
+    private static byte[] readBytes(DataInputStream in, int length) throws IOException {
+        if (length < 0 || length > in.available()) {
+            throw new IOException("a field of " + length + " bytes where " + in.available() + " are left");
+        }
+        return in.readNBytes(length);
     }
 }
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -11,18 +11,16 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import java.util.zip.CRC32;
 import wrenreach.endpoints.ListLog;
 import wrenreach.log.LogEvent;
 
 /**
- * The ledger as an append-only file: records of length, checksum and content, appended once an iteration of the event loop. A tail
- * that a killed process left incomplete is truncated. Old records are removed by compaction: the outstanding mails are written to a new
+ * The ledger as an append-only file: records of length, checksum and content, appended once an iteration of the event loop, see
+ * {@link JournalReader}. A tail that a killed process left incomplete is truncated. Old records are removed by compaction: the outstanding mails are written to a new
  * file that replaces the old one. Owned by the node's event loop.
  */
 public final class Journal implements Ledger {
@@ -32,8 +30,6 @@
     private static final String NEXT_FILE_NAME = "journal.next";
     /** The subfolder in which a store keeps the outstanding mails in place of the journal. */
     public static final String STORE = "store";
-    /** Length and checksum, 4 bytes each. */
-    private static final int RECORD_HEADER_BYTES = 8;
     /** Share of the folder's limit that the file may take before it is compacted: old and compacted file exist side by side for a moment. */
     private static final double FILE_SHARE = 0.54;
     /** Share of the folder's limit that the records of outstanding mails may take, and so a compacted file. */
@@ -73,18 +69,15 @@
     /** An entry with the bytes of its record. */
     private record PendingRecord(Entry entry, byte[] bytes) { }
 
-    /** The bytes of the file that are whole records, and the clock that their times are measured by; null: the wall clock. */
-    private record ReplayResult(long validBytes, TimeBase timeBase) { }
-
-    private Journal(Path folder, long limit, Map<String, HeldMail> outstanding, ReplayResult replayed) throws IOException {
+    private Journal(Path folder, long limit, JournalReader replayed) throws IOException {
         file = folder.resolve(FILE_NAME);
         nextFile = folder.resolve(NEXT_FILE_NAME);
         listLog = new ListLog(folder, limit);
         fileLimit = (long) (limit * FILE_SHARE);
         outstandingLimit = (long) (limit * OUTSTANDING_SHARE);
-        this.outstanding = outstanding;
-        size = replayed.validBytes;
-        timeBase = replayed.timeBase;
+        outstanding = replayed.outstanding();
+        size = replayed.validBytes();
+        timeBase = replayed.timeBase();
         resumed = size > 0;
         outstanding.values().forEach(held -> outstandingBytes += held.journalBytes);
         Files.deleteIfExists(nextFile);
@@ -105,15 +98,12 @@
             // A node that went back to the journal would know nothing of the mails that the store holds.
             throw new IOException(folder.resolve(STORE) + " holds what is owed: [store] has to stay on");
         }
-        Map<String, HeldMail> outstanding = new LinkedHashMap<>();
-        return new Journal(folder, limit, outstanding, replay(folder.resolve(FILE_NAME), outstanding));
+        return new Journal(folder, limit, JournalReader.read(folder.resolve(FILE_NAME)));
     }
 
     /** The outstanding mails of the folder's journal, in the order they were accepted; nothing is written. */
     public static List<HeldMail> read(Path folder) throws IOException {
-        Map<String, HeldMail> outstanding = new LinkedHashMap<>();
-        replay(folder.resolve(FILE_NAME), outstanding);
-        return new ArrayList<>(outstanding.values());
+        return new ArrayList<>(JournalReader.read(folder.resolve(FILE_NAME)).outstanding().values());
     }
 
     @Override public Optional<TimeBase> timeBase() {
@@ -351,7 +341,8 @@
 
     private static byte[] encodeRecord(Entry entry) {
         byte[] content = entry.encode();
-        return ByteBuffer.allocate(RECORD_HEADER_BYTES + content.length).putInt(content.length).putInt(checksum(content)).put(content).array();
+        return ByteBuffer.allocate(JournalReader.HEADER_BYTES + content.length).putInt(content.length)
+                .putInt(JournalReader.checksum(content)).put(content).array();
     }
 
     private static int write(FileChannel channel, ByteArrayOutputStream bytes) throws IOException {
@@ -362,63 +353,6 @@
         return buffer.limit();
     }
 
-    /** Reads records until the end of the file or the first that is not whole, and applies them to the outstanding mails. */
-    private static ReplayResult replay(Path file, Map<String, HeldMail> outstanding) throws IOException {
-        if (!Files.exists(file)) {
-            return new ReplayResult(0, null);
-        }
-        TimeBase timeBase = null;
-        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file));
-        int validBytes = 0;
-        while (bytes.remaining() >= RECORD_HEADER_BYTES) {
-            int length = bytes.getInt();
-            int checksum = bytes.getInt();
-            if (length < 0 || length > bytes.remaining()) {
-                break;
-            }
-            byte[] content = new byte[length];
-            bytes.get(content);
-            if (checksum(content) != checksum) {
-                break;
-            }
-            Entry entry = Entry.decode(content);
-            timeBase = entry instanceof Entry.Clock clock ? clock.base() : timeBase;
-            apply(entry, RECORD_HEADER_BYTES + length, outstanding);
-            validBytes = bytes.position();
-        }
-        if (validBytes < bytes.limit()) {
-            LogEvent.log(LOG, Level.WARNING, "journal.torn", "journal: cut off a torn tail of {bytes} bytes",
-                    "bytes", bytes.limit() - validBytes);
-        }
-        return new ReplayResult(validBytes, timeBase);
-    }
-
-    private static void apply(Entry entry, int bytes, Map<String, HeldMail> outstanding) {
-        HeldMail held = outstanding.get(entry.id());
-        if (entry instanceof Entry.Accepted accepted) {
-            held = new HeldMail(accepted.submission(), accepted.deadline());
-            held.accepted = true;
-            outstanding.put(entry.id(), held);
-        } else if (held == null) {
-            return;
-        } else if (entry instanceof Entry.AttemptStarted started) {
-            held.attempts.add(started.attempt());
-        } else if (entry instanceof Entry.NeverRan neverRan) {
-            held.markNeverRan(neverRan.number());
-        } else if (entry instanceof Entry.Ended ended) {
-            held.ending = ended.ending();
-        } else {
-            outstanding.remove(entry.id());
-        }
-        held.journalBytes += bytes;
-    }
-
-    private static int checksum(byte[] content) {
-        CRC32 crc = new CRC32();
-        crc.update(content);
-        return (int) crc.getValue();
-    }
-
     @Override public void close() throws IOException {
         channel.close();
     }
