Texts of a submission are bounded at the door and refused by the writer

Cause: RequestDecoder bounded ids, keys and tags only, and Entry.writeString cut the length of a text to 16 bits: bytes from 0x80 on take two in UTF-8.

Change: each text of a submission has at most 128 characters, at the door and for what subsystems submit; Entry refuses texts and bodies that its lengths don't hold, before the ledger has changed anything.

--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -359,9 +359,9 @@
     }
 
     @Override public void accepted(HeldMail held) {
+        byte[] entry = new Entry.Accepted(held.submission, held.deadline).encode();
         held.accepted = true;
         outstandingMails.put(held.submission.id(), held);
-        byte[] entry = new Entry.Accepted(held.submission, held.deadline).encode();
         pending.put(ACCEPTED + held.submission.id(), ByteBuffer.allocate(8 + entry.length).putLong(++lastAcceptOrder).put(entry).array());
     }
 
--- a/ledger/src/test/java/wrenreach/ledger/StoreLedgerTest.java
+++ b/ledger/src/test/java/wrenreach/ledger/StoreLedgerTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import wrenreach.held.Ending;
+import wrenreach.held.Entry;
 import wrenreach.held.HeldMail;
 import wrenreach.held.Journal;
 import wrenreach.held.Ledger;
@@ -278,4 +279,18 @@
             }
         }
     }
+
+    /** Guards against lengths that are cut to 16 bits: the writer refuses, and what it holds stays as it was. */
+    @Test void overlongTextsAreRefusedByTheWriter() throws IOException {
+        HeldMail overlong = new HeldMail(new Submission("a", "key", "order", "\u00e9".repeat(40_000), "tag", 3, new byte[1]), 99);
+        try (StoreLedger ledger = open(false, 1000)) {
+            fill(ledger);
+            assertThatThrownBy(() -> ledger.accepted(overlong)).isInstanceOf(Entry.TooLongException.class);
+            assertThat(overlong.accepted).isFalse();
+            write(ledger);
+        }
+        try (StoreLedger ledger = open(false, 1000)) {
+            assertFilled(ledger);
+        }
+    }
 }
--- a/node/src/main/java/wrenreach/held/Entry.java
+++ b/node/src/main/java/wrenreach/held/Entry.java
@@ -14,11 +14,24 @@
     int ACCEPTED_TYPE = 1;
     /** The highest type. */
     int LAST_TYPE = 6;
+    /** Most bytes of a text in a record: its length takes 16 bits. */
+    int MAX_TEXT_BYTES = 0xFFFF;
+    /** Most bytes of a body in a record. */
+    int MAX_BODY_BYTES = 1 << 19;
     /** Most bytes of a record's content. */
     int MAX_CONTENT_BYTES = 1 << 20;
     /** Fewest bytes of a record's content: the type and an empty id. */
     int MIN_CONTENT_BYTES = 3;
 
+    /** A text or a body is longer than a record can hold. */
+    final class TooLongException extends IllegalArgumentException {
+        private static final long serialVersionUID = 1L;
+
+        TooLongException(String what, int bytes, int maxBytes) {
+            super(what + " of " + bytes + " bytes: a record holds at most " + maxBytes);
+        }
+    }
+
     /** The id of the mail that the record is about. */
     String id();
 
@@ -48,7 +61,11 @@
     /** Nothing is outstanding for the mail any more. */
     record Completed(String id) implements Entry { }
 
-    /** The record's content: its type, the mail's id and the rest; without the length and checksum that the journal puts before it. */
+    /**
+     * The record's content: its type, the mail's id and the rest; without the length and checksum that the journal puts before it.
+     *
+     * @throws TooLongException if a text or the body is longer than a record can hold
+     */
     default byte[] encode() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
         DataOutputStream out = new DataOutputStream(bytes);
@@ -63,8 +80,7 @@
                 writeString(out, submission.tenant());
                 writeString(out, submission.tag());
                 out.writeInt(submission.destination());
-                out.writeInt(submission.body().length);
-                out.write(submission.body());
+                writeBody(out, submission.body());
             } else if (this instanceof AttemptStarted started) {
                 out.writeByte(2);
                 writeString(out, started.id);
@@ -141,10 +157,21 @@
 
     private static void writeString(DataOutputStream out, String text) throws IOException {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        if (bytes.length > MAX_TEXT_BYTES) {
+            throw new TooLongException("a text", bytes.length, MAX_TEXT_BYTES);
+        }
         out.writeShort(bytes.length);
         out.write(bytes);
     }
 
+    private static void writeBody(DataOutputStream out, byte[] body) throws IOException {
+        if (body.length > MAX_BODY_BYTES) {
+            throw new TooLongException("a body", body.length, MAX_BODY_BYTES);
+        }
+        out.writeInt(body.length);
+        out.write(body);
+    }
+
     private static String readString(DataInputStream in) throws IOException {
         return new String(readBytes(in, in.readUnsignedShort()), StandardCharsets.UTF_8);
     }
--- a/node/src/main/java/wrenreach/held/HeldMails.java
+++ b/node/src/main/java/wrenreach/held/HeldMails.java
@@ -46,9 +46,10 @@
         clockContinued = false;
     }
 
-    /** What is wrong with the names in a submission, or null. */
+    /** What is wrong with a submission: a text that is too long to be recorded, or an unknown name; or null. */
     public String validationError(Submission submission) {
-        return !queueClasses.contains(submission.queueClass()) ? "unknown class"
+        return submission.tooLong() ? "too long"
+                : !queueClasses.contains(submission.queueClass()) ? "unknown class"
                 : !tenants.isEmpty() && !tenants.contains(submission.tenant()) ? "unknown tenant"
                 : !directory.listed(submission.destination()) ? "unknown destination" : null;
     }
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -130,9 +130,9 @@
     }
 
     @Override public void accepted(HeldMail held) {
+        addPendingFor(held, new Entry.Accepted(held.submission, held.deadline));
         held.accepted = true;
         outstanding.put(held.submission.id(), held);
-        addPendingFor(held, new Entry.Accepted(held.submission, held.deadline));
     }
 
     @Override public void attemptStarted(HeldMail held, RecordedAttempt attempt) {
--- a/node/src/main/java/wrenreach/net/RequestDecoder.java
+++ b/node/src/main/java/wrenreach/net/RequestDecoder.java
@@ -15,9 +15,6 @@
 
 /** Decodes a RESP message of a client to a request. */
 final class RequestDecoder extends MessageToMessageDecoder<RedisMessage> {
-    /** The longest id, order key or tag, in characters. */
-    private static final int MAX_WORD_LENGTH = 128;
-
     @Override protected void decode(ChannelHandlerContext ctx, RedisMessage message, List<Object> out) {
         if (message instanceof InlineCommandRedisMessage inline) {
             out.add(inline.content().strip().equalsIgnoreCase("PING") ? new Request.Ping()
@@ -79,13 +76,13 @@
                 || !tag.isEmpty() && !isPrintableWord(tag)) {
             return new Request.Malformed("malformed fields", false);
         }
-        return new Request.Submit(
-                new Submission(id, key, queueClass, tenant, tag, (int) destination, body), lifetime);
+        Submission submission = new Submission(id, key, queueClass, tenant, tag, (int) destination, body);
+        return submission.tooLong() ? new Request.Malformed("malformed fields", false) : new Request.Submit(submission, lifetime);
     }
 
     /** Whether it is a word of printable ASCII: ids are sent in HTTP headers, where a line end would begin a header of its own. */
     private static boolean isPrintableWord(String text) {
-        return !text.isEmpty() && text.length() <= MAX_WORD_LENGTH && text.chars().allMatch(c -> c > ' ' && c < 127);
+        return !text.isEmpty() && text.length() <= Submission.MAX_WORD_LENGTH && text.chars().allMatch(c -> c > ' ' && c < 127);
     }
 
     private static long parseNumber(String text) {
--- a/node/src/test/java/wrenreach/held/JournalTest.java
+++ b/node/src/test/java/wrenreach/held/JournalTest.java
@@ -260,6 +260,20 @@
         assertThat(outstandingIds()).containsExactly("a", "b");
     }
 
+    /** Guards against lengths that are cut to 16 bits: the writer refuses, and what it holds stays as it was. */
+    @Test void overlongTextsAreRefusedByTheWriter() throws IOException {
+        try (Journal journal = Journal.open(folder, 100 * FOLDER_LIMIT_BYTES)) {
+            journal.accepted(mail("a", 5));
+            for (HeldMail overlong : List.of(mail("x".repeat(Entry.MAX_TEXT_BYTES + 1), 1), mail("\u00e9".repeat(40_000), 1), mail("b", Entry.MAX_BODY_BYTES + 1))) {
+                assertThatThrownBy(() -> journal.accepted(overlong)).isInstanceOf(Entry.TooLongException.class);
+                assertThat(overlong.accepted).isFalse();
+            }
+            journal.accepted(mail("c".repeat(Entry.MAX_TEXT_BYTES), Entry.MAX_BODY_BYTES));
+            journal.write();
+        }
+        assertThat(outstandingIds()).containsExactly("a", "c".repeat(Entry.MAX_TEXT_BYTES));
+    }
+
     @Test void compactionKeepsOutstandingMailsInOrder() throws IOException {
         try (Journal journal = Journal.open(folder, FOLDER_LIMIT_BYTES)) {
             HeldMail kept = mail("kept", 10);
--- a/node/src/test/java/wrenreach/net/CodecTest.java
+++ b/node/src/test/java/wrenreach/net/CodecTest.java
@@ -91,6 +91,17 @@
         assertThat(nextRequest()).isEqualTo(new Request.Malformed("malformed fields", false));
     }
 
+    /** Guards against texts that no record can hold: a tenant of 40,000 bytes was taken on where the settings name no tenants (review/6). */
+    @ParameterizedTest
+    @CsvSource({"t, 129", "t, 4000", "t, 40000", "t, 65000", "c, 129", "c, 40000", "k, 129"})
+    void overlongFieldIsRejected(String field, int length) {
+        EmbeddedChannel client = new EmbeddedChannel(SubmissionServer.codecs(SubmissionServer.MAX_BODY_BYTES));
+        for (String letter : List.of("\u00e9", "x", "\u00ff")) {
+            client.writeInbound(bytes(enqueue("0", "a", "c=n,d=1,dest=1," + field + "=" + letter.repeat(length), "x")));
+            assertThat((Object) client.readInbound()).isEqualTo(new Request.Malformed("malformed fields", false));
+        }
+    }
+
     /** An id is sent in a header of the call, where a line end in it would begin a header of its own. */
     @Test void idWithALineEndIsRejected() {
         channel.writeInbound(bytes(enqueue("0", "a\r\nX: 1", "c=n,d=1,dest=1", "x")));
