A starting node believes no old list until discovery has spoken

Cause: nothing held calls back where lists are asked for.

Change: EndpointListPolicy (decisions) holds all sends until discovery has sent this process a list, or has none (4xx), at most one longest lifetime; mails still end in time. A late first response counts. Where the process before was at work under four drain graces ago, a mail that would end with no attempt gets one by the old list. The subscription moves there from DeliveryDispatcher.

--- a/decisions/src/main/java/wrenreach/DeliveryDispatcher.java
+++ b/decisions/src/main/java/wrenreach/DeliveryDispatcher.java
@@ -70,7 +70,6 @@
     // Divisors: each sets aside one part in so many.
     private static final int DEGRADED_CALLS_DIVISOR = 3; // Of the calls in flight, for all degraded routes together.
     private static final int FREE_MAILS_DIVISOR = 16; // Of the mails that may be held, kept free.
-    private static final int LIST_RETRY_DIVISOR = 8; // Of the time in which the endpoint list has to be requested, as the interval of retries.
 
     // Costs by which the endpoint for a mail is selected, in calls in flight.
     private static final double JOIN_CALL_COST = -50; // A call that the mail can join comes first.
@@ -81,8 +80,8 @@
 
     private final int nodeCount, nodeIndex, zone, maxCallsInFlight, maxDegradedCalls, maxHeldMails, maxAttempts, allowanceIndex, provenConnectionScore;
     // tick: how late this process may be; targetDelay: the shortest of all queue classes; maxLifetime: the longest of all queue classes.
-    private final long seed, tick, maxRetryAfter, connectionIdleTimeout, listRetryInterval, slowStartDuration, orderSettleTime, targetDelay, maxLifetime;
-    private final boolean parallelAttemptsAllowed, cancellationAllowed, listOnRequest, weightsProvided;
+    private final long seed, tick, maxRetryAfter, connectionIdleTimeout, slowStartDuration, orderSettleTime, targetDelay, maxLifetime;
+    private final boolean parallelAttemptsAllowed, cancellationAllowed, weightsProvided;
     private final double overQuotaImportance;
     private final List<Settings.QueueClass> classes;
     private final List<Settings.DestinationKind> kinds;
@@ -98,6 +97,7 @@
     private final RateLimiter rateLimiter;
     private final CircuitBreaker circuitBreaker;
     private final RetryPolicy retryPolicy;
+    private final EndpointListPolicy endpointListPolicy;
 
     /** The destinations that the endpoint list names. */
     private final List<Destination> destinations = new ArrayList<>();
@@ -110,9 +110,6 @@
     private long drawCount, nextSequence, nextWakeUpAt, lastIterationAt, wakeUpLateness;
     /** When the last requested wake-up is due. */
     private long scheduledWakeUpAt = Long.MIN_VALUE;
-    /** Whether updates of the endpoint list are subscribed to; if not, subscribeAt is when to try. */
-    private boolean listSubscribed;
-    private long subscribeAt = Long.MIN_VALUE;
 
     public DeliveryDispatcher(Settings settings) {
         nodeCount = settings.nodeCount();
@@ -128,9 +125,7 @@
         cancellationAllowed = settings.cancellationAllowed();
         maxRetryAfter = settings.retryAfterEnabled() ? settings.retryAfterLimit() : 0;
         connectionIdleTimeout = settings.connectionIdleTimeout();
-        listOnRequest = settings.listOnRequest();
         weightsProvided = settings.weightsProvided();
-        listRetryInterval = settings.listRequestWindow() / LIST_RETRY_DIVISOR;
         overQuotaImportance = settings.overQuotaImportance();
         allowanceIndex = settings.allowanceIndex();
         classes = settings.classes();
@@ -148,6 +143,7 @@
         circuitBreaker = new CircuitBreaker(settings, targetDelay, rateLimiter, this::randomFraction, (text, at) -> actions.add(new Action.LogNote(text)));
         retryPolicy = new RetryPolicy(classes, tick);
         maxLifetime = classes.stream().mapToLong(Settings.QueueClass::lifetime).max().orElse(MICROS_PER_SECOND);
+        endpointListPolicy = new EndpointListPolicy(settings, maxLifetime);
     }
 
     // ---- Events ----
@@ -255,11 +251,16 @@
     }
 
     @Override public List<Action> endpointsUpdated(EndpointUpdate update, long now) {
-        if (update.scope() == EndpointUpdate.Scope.FAILED) {
-            listSubscribed = false;
-            subscribeAt = now + listRetryInterval + (long) (listRetryInterval * randomFraction(listRetryInterval));
-            return takeActions();
+        switch (update.scope()) {
+            case FAILED -> endpointListPolicy.failed(randomFraction(endpointListPolicy.retryInterval()), now);
+            case UNCONFIRMED -> endpointListPolicy.unconfirmed(update.age(), now);
+            case CONFIRMED -> endpointListPolicy.confirmed();
+            default -> updateEndpoints(update, now);
         }
+        return takeActions();
+    }
+
+    private void updateEndpoints(EndpointUpdate update, long now) {
         List<Endpoint> removed = new ArrayList<>();
         if (update.scope() != EndpointUpdate.Scope.CHANGES) {
             destinations.forEach(destination -> removed.addAll(destination.endpoints));
@@ -284,7 +285,6 @@
         removed.forEach(DeliveryDispatcher::removeEndpoint);
         // Saves memory: the host has forgotten these destinations, and creates them anew when a mail for them arrives.
         destinations.removeIf(destination -> !destination.listed);
-        return takeActions();
     }
 
     @Override public List<Action> nextActions(long now) {
@@ -295,8 +295,7 @@
         lastIterationAt = now;
         rateLimiter.beginIteration(now);
         nextWakeUpAt = now + (long) (MAX_WAKE_UP_INTERVAL * targetDelay);
-        if (listOnRequest && !listSubscribed && now >= subscribeAt) {
-            listSubscribed = true;
+        if (endpointListPolicy.subscribe(now)) {
             actions.add(new Action.SubscribeToList());
         }
         endExpiredMails(now);
@@ -317,7 +316,7 @@
 
     /** Requests a wake-up unless there is nothing to do or one is already due by then. */
     private void scheduleWakeUp(long now) {
-        boolean idle = activeDestinations.isEmpty() && !(listOnRequest && !listSubscribed);
+        boolean idle = activeDestinations.isEmpty() && !endpointListPolicy.needsSubscription();
         long wakeUpAt = Math.max(nextWakeUpAt, now + tick);
         if (!idle && !(scheduledWakeUpAt > now && scheduledWakeUpAt <= wakeUpAt)) {
             scheduledWakeUpAt = wakeUpAt;
@@ -459,7 +458,7 @@
         return isRecoveredUnattempted(mail) && !route.inSlowStart && route.retryAfterUntil <= now && now >= lastChanceAt(mail);
     }
 
-    /** When a recovered mail without an attempt has to be sent at the latest. */
+    /** When a mail without an attempt has to be sent at the latest. */
     private long lastChanceAt(Mail mail) {
         return mail.deadline - LAST_CHANCE_LATENCIES * typicalLatencyOf(mail.destination) - 4 * tick - wakeUpLateness;
     }
@@ -477,8 +476,11 @@
         return queueClass.importance() * remainingShare * (mail.overQuota ? overQuotaImportance : 1);
     }
 
-    /** Whether the mail may be sent now as far as its own delay and its order key are concerned. */
+    /** Whether the mail may be sent now as far as its own delay, its order key and the age of the endpoint list are concerned. */
     private boolean isEligible(Mail mail, long now) {
+        if (!endpointListPolicy.mayBeUsed(mail.attempts.isEmpty() && now >= lastChanceAt(mail), now)) {
+            return false;
+        }
         if (mail.notBefore > now) {
             wakeUpBy(mail.notBefore, now);
             return false;
--- a/decisions/src/main/java/wrenreach/api/Settings.java
+++ b/decisions/src/main/java/wrenreach/api/Settings.java
@@ -78,8 +78,7 @@
      * Parameters of the delivery rules; times in microseconds.
      *
      * @param answerSlack the time past a client's deadline in which a final answer still counts; not read by the node's decisions
-     * @param drainGrace the time within which sends to a draining or removed endpoint must have stopped once the node has received that change; also how long a
-     *     starting node waits for a current list
+     * @param drainGrace the time within which sends to a draining or removed endpoint must have stopped once the node has received that change
      * @param slowStartInitialShare the fraction of its normal rate that a returning receiver takes at first
      * @param slowStartDuration the time in which that grows to the normal rate
      * @param overloadFactor the multiple of that rate which a returning receiver bears for a short time
--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -28,6 +29,7 @@
 import wrenreach.held.Entry;
 import wrenreach.held.HeldMail;
 import wrenreach.held.Journal;
+import wrenreach.held.LastWrite;
 import wrenreach.held.Ledger;
 import wrenreach.held.RecordedAttempt;
 import wrenreach.held.TimeBase;
@@ -101,6 +103,7 @@
     private ExecutorService forceExecutor;
     private boolean closed;
     private ListLog listLog;
+    private OptionalLong lastWrittenMillis = OptionalLong.empty();
 
     private StoreLedger(Store store, ReservedSpace ballast, boolean sync, long remember, long rememberBytes, LongSupplier micros) throws IOException {
         this.store = store;
@@ -140,11 +143,13 @@
         Files.deleteIfExists(state.resolve(JOURNAL + ".next"));
         Files.createDirectories(folder);
         long kept = (long) (limit * RESERVED_SHARE);
+        OptionalLong lastWrittenMillis = LastWrite.millis(folder);
         Store store = Store.open(new FolderDisk(folder), limit - kept - ListLog.sizeLimit(limit), sync, salt);
         try {
             StoreLedger ledger = new StoreLedger(store, new ReservedSpace(folder.resolve("ballast"), kept), sync, remember, rememberBytes,
                     micros);
             ledger.listLog = new ListLog(state, limit);
+            ledger.lastWrittenMillis = lastWrittenMillis;
             return ledger;
         } catch (IOException | RuntimeException e) {
             store.close();
@@ -342,6 +347,10 @@
         return resumed;
     }
 
+    @Override public OptionalLong lastWrittenMillis() {
+        return lastWrittenMillis;
+    }
+
     @Override public List<HeldMail> outstanding() {
         return new ArrayList<>(outstandingMails.values());
     }
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import wrenreach.endpoints.ListLog;
 import wrenreach.log.LogEvent;
@@ -53,6 +54,7 @@
     /** By id, in the order in which they were accepted. */
     private final Map<String, HeldMail> outstanding;
     private final boolean resumed;
+    private final OptionalLong lastWrittenMillis;
     /** What the next write appends, in order. */
     private final List<PendingRecord> pending = new ArrayList<>();
     private FileChannel channel;
@@ -70,6 +72,7 @@
     private record PendingRecord(Entry entry, byte[] bytes) { }
 
     private Journal(Path folder, long limit, JournalReader replayed) throws IOException {
+        lastWrittenMillis = LastWrite.millis(folder.resolve(FILE_NAME));
         file = folder.resolve(FILE_NAME);
         nextFile = folder.resolve(NEXT_FILE_NAME);
         listLog = new ListLog(folder, limit);
@@ -120,6 +123,10 @@
         return resumed;
     }
 
+    @Override public OptionalLong lastWrittenMillis() {
+        return lastWrittenMillis;
+    }
+
     @Override public List<HeldMail> outstanding() {
         return new ArrayList<>(outstanding.values());
     }
--- a/node/src/main/java/wrenreach/held/Ledger.java
+++ b/node/src/main/java/wrenreach/held/Ledger.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import wrenreach.endpoints.ListLog;
@@ -35,6 +36,11 @@
     /** Whether an earlier process left records. */
     boolean resumed();
 
+    /** When an earlier process last wrote to it, in milliseconds of the wall clock; empty: not known. */
+    default OptionalLong lastWrittenMillis() {
+        return OptionalLong.empty();
+    }
+
     /** The accepted mails that are not completed, in the order they were accepted. */
     List<HeldMail> outstanding();
 
--- a/node/src/main/java/wrenreach/net/Discovery.java
+++ b/node/src/main/java/wrenreach/net/Discovery.java
@@ -19,6 +19,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
@@ -47,6 +49,10 @@
     private static final long LOG_INTERVAL_US = 10_000_000;
     /** Time until a response begins, and between two entries of a snapshot: discovery answers at once. */
     private static final long RESPONSE_TIMEOUT_MS = 1000;
+    /** How long a response is waited for beside later requests, while no list has come: discovery may answer all of them late. */
+    private static final long LATE_RESPONSE_TIMEOUT_MS = 10_000;
+    /** Requests that are waited for at a time. */
+    private static final int MAX_LATE_REQUESTS = 6;
     /** The same after several failures: discovery answers later where many nodes ask at a time. */
     private static final long MAX_RESPONSE_TIMEOUT_MS = 2000;
     /** After a list that was too large the next try comes after so many times the maximal backoff: it would be as large a moment later. */
@@ -100,6 +106,10 @@
     private long nextLogAt;
     /** Whether the last list was too large. */
     private boolean listTooLarge;
+    /** The last watch that has brought a list. */
+    private Channel heardWatch;
+    /** Whether this process has had a list; before that it can't serve, and a late response is better than none. */
+    private boolean listReceived;
 
     /**
      * Requests nothing before {@link #follow} or {@link #fetchSnapshot}.
@@ -132,6 +142,9 @@
             // Without this a change of address between a failure and the next try would open a second watch.
             nextTry.cancel(false);
         }
+        if (openChannels.contains(heardWatch)) {
+            return;
+        }
         if (!indexValid) {
             requestSnapshot(true);
             return;
@@ -176,7 +189,10 @@
         }
     }
 
-    /** Whether discovery has answered a watch with an error status and sent no list since: it is reachable, but has none to send. */
+    /**
+     * Whether discovery has answered a watch with a status that says that it has no list to send, and sent none since. An error of its own or too
+     * many requests are no such status: another request may be answered.
+     */
     public boolean refuses() {
         return refuses;
     }
@@ -226,12 +242,17 @@
         @Override public void failed(boolean local) {
             boolean current = channel == null ? target.equals(address) : openChannels.remove(channel);
             if (current) {
-                requestFailed("no connection", watch);
+                requestFailed("no connection", watch, false);
             }
         }
     }
 
-    private void requestFailed(String why, boolean watch) {
+    private long delayAfterFailure() {
+        return listTooLarge ? TOO_LARGE_BACKOFF_FACTOR * timeouts.maxBackoff : backoff.nextDelay();
+    }
+
+    /** late: the response may still come. */
+    private void requestFailed(String why, boolean watch, boolean late) {
         if (stopped) {
             return;
         }
@@ -241,8 +262,7 @@
                     "why", why, "index", index);
         }
         if (reopensWatch && watch) {
-            long delayMs = listTooLarge ? TOO_LARGE_BACKOFF_FACTOR * timeouts.maxBackoff : backoff.nextDelay();
-            nextTry = loop.schedule(this::follow, delayMs, TimeUnit.MILLISECONDS);
+            nextTry = loop.schedule(this::follow, late ? timeouts.initialBackoff : delayAfterFailure(), TimeUnit.MILLISECONDS);
         } else {
             following &= !watch;
             host.listFailed();
@@ -298,6 +318,7 @@
             sink.end(newIndex, snapshot);
             index = newIndex;
             indexValid = true;
+            listReceived = true;
             refuses = false;
             listTooLarge = false;
             if (failing) {
@@ -330,12 +351,17 @@
         }
     }
 
+    private static boolean hasNoList(HttpResponseStatus status) {
+        return status.codeClass() == HttpStatusClass.CLIENT_ERROR && !status.equals(HttpResponseStatus.REQUEST_TIMEOUT)
+                && !status.equals(HttpResponseStatus.TOO_MANY_REQUESTS);
+    }
+
     /** Passes on the bytes of the body of a watch as they come, and closes the connection on an error status or at its end. */
     private final class WatchBodyDecoder extends MessageToMessageDecoder<HttpObject> {
         @Override protected void decode(ChannelHandlerContext ctx, HttpObject message, List<Object> out) {
-            boolean refused = message instanceof HttpResponse response && response.status().code() != 200;
-            if (message.decoderResult().isFailure() || refused) {
-                refuses |= refused && message.decoderResult().isSuccess();
+            boolean failed = message instanceof HttpResponse response && response.status().code() != 200;
+            if (message.decoderResult().isFailure() || failed) {
+                refuses |= failed && message.decoderResult().isSuccess() && hasNoList(((HttpResponse) message).status());
                 ctx.close();
                 return;
             }
@@ -355,6 +381,8 @@
     private abstract class ResponseHandler<T> extends SimpleChannelInboundHandler<T> {
         private final boolean watch;
         private DelayedTask timeout;
+        /** Whether the request counts as failed already, and its response is only waited for beside a later one. */
+        private boolean late;
 
         ResponseHandler(boolean watch) {
             this.watch = watch;
@@ -362,22 +390,49 @@
 
         /** Closes the connection unless this is called again within the given time. */
         final void restartTimeout(ChannelHandlerContext ctx, long ms) {
+            restartTimeout(ms, ctx::close);
+        }
+
+        private void restartTimeout(long ms, Runnable onTimeout) {
             if (timeout != null) {
                 timeout.cancel();
             }
-            timeout = DelayedTask.schedule(loop, 1000 * ms, ctx::close);
+            timeout = DelayedTask.schedule(loop, 1000 * ms, onTimeout);
         }
 
         @Override public void channelActive(ChannelHandlerContext ctx) {
-            restartTimeout(ctx, backoff.scaledTimeout(RESPONSE_TIMEOUT_MS, MAX_RESPONSE_TIMEOUT_MS));
+            long timeoutMs = listReceived ? backoff.scaledTimeout(RESPONSE_TIMEOUT_MS, MAX_RESPONSE_TIMEOUT_MS) : RESPONSE_TIMEOUT_MS;
+            restartTimeout(timeoutMs, () -> responseLate(ctx));
+        }
+
+        private void responseLate(ChannelHandlerContext ctx) {
+            if (listReceived || openChannels.size() >= MAX_LATE_REQUESTS || !openChannels.contains(ctx.channel())) {
+                ctx.close();
+                return;
+            }
+            late = true;
+            restartTimeout(ctx, LATE_RESPONSE_TIMEOUT_MS);
+            requestFailed("late", watch, true);
+        }
+
+        /** A list has come on this connection: other requests and the next try are not needed. */
+        final void supersedeOthers(ChannelHandlerContext ctx) {
+            late = false;
+            if (nextTry != null) {
+                nextTry.cancel(false);
+            }
+            List<Channel> others = new ArrayList<>(openChannels);
+            others.remove(ctx.channel());
+            openChannels.retainAll(List.of(ctx.channel()));
+            others.forEach(Channel::close);
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             if (timeout != null) {
                 timeout.cancel();
             }
-            if (openChannels.remove(ctx.channel())) {
-                requestFailed("silent or closed", watch);
+            if (openChannels.remove(ctx.channel()) && !late) {
+                requestFailed("silent or closed", watch, false);
             }
         }
 
@@ -405,6 +460,21 @@
             }
         }
 
+        private void watchHeard(ChannelHandlerContext ctx) {
+            if (heardWatch != ctx.channel()) {
+                heardWatch = ctx.channel();
+                following = true;
+                supersedeOthers(ctx);
+            }
+        }
+
+        /** Where nothing has changed since the known list, a watch may bring no list: then a snapshot says what is in force. */
+        private void requestFirstList() {
+            if (!listReceived && openChannels.size() < MAX_LATE_REQUESTS) {
+                fetchSnapshot();
+            }
+        }
+
         @Override protected void channelRead0(ChannelHandlerContext ctx, ListFrameDecoder.Fragment fragment) {
             if (malformed || !openChannels.contains(ctx.channel())) {
                 return;
@@ -413,6 +483,7 @@
                 restartTimeout(ctx, timeouts.silenceTimeout);
                 // Reset here and not at each list: valid lists that are each followed by a malformed one must not shorten the backoff.
                 backoff.reset();
+                requestFirstList();
                 return;
             }
             try {
@@ -421,6 +492,7 @@
                 }
                 if (fragment.last) {
                     incoming.finish();
+                    watchHeard(ctx);
                 }
             } catch (IOException e) {
                 malformed = true;
@@ -455,9 +527,12 @@
                 if (valid && message instanceof LastHttpContent) {
                     consumed = true;
                     incoming.finish();
-                    if (openChannels.remove(ctx.channel()) && thenFollow) {
+                    if (thenFollow && openChannels.contains(ctx.channel())) {
+                        supersedeOthers(ctx);
+                        openChannels.remove(ctx.channel());
                         follow();
                     }
+                    openChannels.remove(ctx.channel());
                 }
             } catch (IOException e) {
                 consumed = true;
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -90,6 +90,8 @@
     private final EventLoopGroup loopGroup;
     private final EventLoop loop;
     private final Ledger journal;
+    /** How long ago an earlier process last wrote to the ledger, in microseconds; Long.MAX_VALUE: not known. */
+    private final long ledgerAgeMicros;
     private final SubmissionServer submissionServer;
     private final Calls calls;
     private final Notices notices;
@@ -151,6 +153,8 @@
         settings = config.settings();
         // A client may ask for a longer lifetime than its class has, so a deadline may lie several lifetimes ahead.
         long maxLifetime = settings.classes().stream().mapToLong(Settings.QueueClass::lifetime).max().orElse(0);
+        ledgerAgeMicros = journal.lastWrittenMillis().isEmpty() ? Long.MAX_VALUE
+                : 1000 * (sockets.clocks().wallMillis().getAsLong() - journal.lastWrittenMillis().getAsLong());
         clock = Clock.start(loop.ticker(), sockets.clocks(), journal, MAX_DEADLINE_LIFETIMES * maxLifetime);
         this.dispatcher = dispatcherFactory.apply(settings);
         folderOutage = new FolderOutage(loop, () -> journal.write(() -> { }), this::folderRecovered);
@@ -292,9 +296,8 @@
             LogEvent.log(LOG, Level.INFO, "recovery", "recovered {mails} mails, {unconfirmed} of them ended but not confirmed",
                     "mails", outstanding.size(), "unconfirmed", unacknowledged);
         }
+        actions.addAll(dispatcher.endpointsUpdated(new EndpointUpdate(EndpointUpdate.Scope.UNCONFIRMED, List.of(), ledgerAgeMicros), now));
         if (!settings.listOnRequest()) {
-            endpointLists.delaySendingUntil(now + settings.rules().drainGrace());
-            schedule(this::iterationTime, settings.rules().drainGrace());
             discovery.follow();
         }
         schedule(this::audit, AUDIT_INTERVAL_MICROS);
@@ -442,7 +445,8 @@
         withdrawAbandoned();
         calls.dropDisallowed();
         directory.sweep(now);
-        if (sendingAllowed && endpointLists.mayBeUsed(now)) {
+        endpointLists.checkRefusal();
+        if (sendingAllowed) {
             actions.addAll(dispatcher.nextActions(now));
         }
         // Actions that result from carrying out others join the queue, so that none is lost.
@@ -744,6 +748,10 @@
         endpointLists.prepare(entries);
     }
 
+    @Override public void listConfirmed() {
+        actions.addAll(dispatcher.endpointsUpdated(new EndpointUpdate(EndpointUpdate.Scope.CONFIRMED, List.of()), iterationTime()));
+    }
+
     @Override public void listFailed() {
         actions.addAll(dispatcher.endpointsUpdated(new EndpointUpdate(EndpointUpdate.Scope.FAILED, List.of()), iterationTime()));
     }
--- a/node/src/main/java/wrenreach/node/EndpointLists.java
+++ b/node/src/main/java/wrenreach/node/EndpointLists.java
@@ -36,6 +36,9 @@
 
         /** Runs the work on the event loop after a delay in microseconds. */
         void schedule(Runnable work, long delay);
+
+        /** The list in force is no longer only that of an earlier process. */
+        void listConfirmed();
     }
 
     private final Host node;
@@ -47,8 +50,8 @@
     private EndpointsInUse endpointsInUse;
     private Discovery discovery;
     private boolean reclaimScheduled;
-    /** Time in microseconds until which nothing is sent by the known list alone. */
-    private long sendingDelayedUntil = Long.MIN_VALUE;
+    /** Whether this process has had a list, so that the one of the process before is no longer in force. */
+    private boolean confirmed;
 
     /** known: the list of the config; listLog: where the latest list from discovery is stored. */
     EndpointLists(Host node, Subsystems subsystems, EndpointTable known, ListLog listLog, String discoveryAddress) {
@@ -109,23 +112,23 @@
         if (inForce == latest) {
             endpointsInUse.activateAll(now);
         } else {
-            apply(subsystems.filter(latest.snapshot(), now));
+            applyToInForce(subsystems.filter(latest.snapshot(), now), now);
         }
     }
 
-    /**
-     * Delays sending until discovery has sent a list, at most until this time in microseconds. Drains may have been published while no
-     * process ran: the known list may be outdated, and what discovery has counts as received. Discovery answers at once; where it does not,
-     * the known list has to do from this time on. A request that fails does not count as such, as the next one may be answered; where one is
-     * refused there is no list to wait for.
-     */
-    void delaySendingUntil(long time) {
-        sendingDelayedUntil = time;
+    /** Where discovery has refused to send a list, the known one is all there is. */
+    void checkRefusal() {
+        if (discovery.refuses()) {
+            confirm();
+        }
     }
 
-    /** Whether mails may be sent by the known list. */
-    boolean mayBeUsed(long now) {
-        return now >= sendingDelayedUntil || discovery.refuses();
+    /** Reports once that there is a list of this process. */
+    private void confirm() {
+        if (!confirmed) {
+            confirmed = true;
+            node.listConfirmed();
+        }
     }
 
     /** Returns a sink that takes a list from discovery as it arrives. */
@@ -160,7 +163,7 @@
         }
         listLog.commit(latest.index(), Addresses.format(discovery.address()), latest);
         if (latest == inForce) {
-            sendingDelayedUntil = Long.MIN_VALUE;
+            confirm();
             endpointsInUse.applyDelta(node.iterationTime());
         } else {
             apply(subsystems.filter(whole ? latest.snapshot() : latest.delta(), node.iterationTime()));
@@ -171,7 +174,11 @@
     /** Applies an update that a subsystem has made or let through to the list in force. */
     void apply(ListUpdate update) {
         long now = node.iterationTime();
-        sendingDelayedUntil = Long.MIN_VALUE;
+        confirm();
+        applyToInForce(update, now);
+    }
+
+    private void applyToInForce(ListUpdate update, long now) {
         try {
             inForce.apply(update);
             endpointsInUse.applyDelta(now);
