--- a/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
+++ b/ledger/src/main/java/wrenreach/ledger/StoreLedger.java
@@ -8,7 +8,6 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +31,7 @@
 import wrenreach.held.LastWrite;
 import wrenreach.held.Ledger;
 import wrenreach.held.RecordedAttempt;
+import wrenreach.held.RememberedIds;
 import wrenreach.held.TimeBase;
 import wrenreach.log.LogEvent;
 import wrenreach.store.Batch;
@@ -79,18 +79,12 @@
     private final ReservedSpace reservedSpace;
     /** Whether writes are forced, so that they survive a loss of power. */
     private final boolean sync;
-    /** How long ids of ended mails are remembered, in microseconds. */
-    private final long rememberMicros;
-    /** Bytes that remembered ids may take. */
-    private final long rememberBytes;
+    private final RememberedIds remembered;
     /** A monotonic clock, in microseconds. */
     private LongSupplier micros;
     /** The time base of the times in the records; null: wall-clock time. */
     private TimeBase timeBase;
     private final Map<String, HeldMail> outstandingMails = new LinkedHashMap<>();
-    /** When the mail of each remembered id ended, in microseconds; the oldest first. */
-    private final Map<String, Long> remembered = new LinkedHashMap<>();
-    private long rememberedBytes;
     /** Whether the store held batches of an earlier process when it was opened. */
     private final boolean resumed;
     /** Number of the last accepted mail, which keeps mails in the order of acceptance. */
@@ -109,8 +103,7 @@
         this.store = store;
         this.reservedSpace = ballast;
         this.sync = sync;
-        this.rememberMicros = remember;
-        this.rememberBytes = rememberBytes;
+        remembered = new RememberedIds(remember, rememberBytes, REMEMBERED_ID_OVERHEAD_BYTES);
         this.micros = micros;
         resumed = store.stats().sequence() > 0;
         load();
@@ -261,7 +254,7 @@
             }
             outstandingMails.put(held.submission.id(), held);
         });
-        ended.forEach((at, id) -> remembered(id, at));
+        ended.forEach((at, id) -> remembered.add(id, at));
         // Records whose mail is missing are of no use; only damage leaves them behind.
         orphans.forEach(pending::delete);
         if (found.truncatedBytes() > 0) {
@@ -359,12 +352,12 @@
         long each = (2L + 2 * tries) * MAX_RECORD_BYTES;
         // Tried here too: a node that refuses every new mail writes nothing, and would never get its reserved space back otherwise.
         restoreReservedSpace();
-        return reservedSpace.reserved() && store.fits(outstandingMails.size() * each + Math.max(0, rememberBytes - rememberedBytes),
+        return reservedSpace.reserved() && store.fits(outstandingMails.size() * each + remembered.freeBytes(),
                 (1L + before) * (bodyBytes + MAX_RECORD_BYTES + each));
     }
 
     @Override public boolean hasEnded(String id) {
-        return remembered.containsKey(id);
+        return remembered.contains(id);
     }
 
     @Override public void accepted(HeldMail held) {
@@ -415,32 +408,16 @@
         if (held.ending != null) {
             pending.delete(ENDING + id);
         }
-        if (rememberMicros > 0 && rememberBytes > 0) {
+        if (remembered.enabled()) {
             long now = micros.getAsLong();
             pending.put(REMEMBERED + id, ByteBuffer.allocate(8).putLong(now).array());
-            remembered(id, now);
+            remembered.add(id, now);
         }
     }
 
-    private void remembered(String id, long at) {
-        remembered.put(id, at);
-        rememberedBytes += id.length() + REMEMBERED_ID_OVERHEAD_BYTES;
-    }
-
     /** Removes ids that are older than the time limit or exceed the byte limit, a bounded number at a time. */
     private void expireRememberedIds() {
-        long before = micros.getAsLong() - rememberMicros;
-        int count = 0;
-        for (Iterator<Map.Entry<String, Long>> all = remembered.entrySet().iterator(); all.hasNext() && count < MAX_EXPIRED_IDS_PER_ITERATION;) {
-            Map.Entry<String, Long> oldest = all.next();
-            if (oldest.getValue() >= before && rememberedBytes <= rememberBytes) {
-                return;
-            }
-            all.remove();
-            rememberedBytes -= oldest.getKey().length() + REMEMBERED_ID_OVERHEAD_BYTES;
-            pending.delete(REMEMBERED + oldest.getKey());
-            count++;
-        }
+        remembered.expire(micros.getAsLong(), MAX_EXPIRED_IDS_PER_ITERATION).forEach(id -> pending.delete(REMEMBERED + id));
     }
 
     // ---- Writing ----
--- a/node/src/main/java/wrenreach/held/HeldMail.java
+++ b/node/src/main/java/wrenreach/held/HeldMail.java
@@ -46,6 +46,11 @@
         return false;
     }
 
+    /** Whether a receiver may have run it: unless it was deferred, which says that it did not. */
+    boolean mayHaveRun() {
+        return ending == null || !ending.deferred();
+    }
+
     /** The mail as one line of the listing of outstanding mails. */
     public String describe() {
         String outcome = ending == null ? "" : ending.deferred() ? " deferred" : " undeliverable";
--- a/node/src/main/java/wrenreach/held/Journal.java
+++ b/node/src/main/java/wrenreach/held/Journal.java
@@ -21,8 +21,9 @@
 
 /**
  * The ledger as an append-only file: records of length, checksum and content, appended once an iteration of the event loop, see
- * {@link JournalReader}. A tail that a killed process left incomplete is truncated. Old records are removed by compaction: the outstanding mails are written to a new
- * file that replaces the old one. Owned by the node's event loop.
+ * {@link JournalReader}. A tail that a killed process left incomplete is truncated. The ids of mails that have ended and may have run are
+ * remembered. Old records are removed by compaction: the outstanding mails and these ids are written to a new file that replaces the old
+ * one. Owned by the node's event loop.
  */
 public final class Journal implements Ledger {
     private static final System.Logger LOG = System.getLogger(Journal.class.getName());
@@ -41,6 +42,17 @@
      */
     private static final double RESERVED_SHARE = 0.01;
 
+    /** Share of the folder's limit that the ids of ended mails may take in a compacted file. */
+    private static final double REMEMBERED_SHARE = 0.05;
+    /** Bytes that these ids may take at most: they are in memory too. */
+    private static final int MAX_REMEMBERED_BYTES = 512 * 1024;
+    /** Bytes of the record of an ended mail beside its id. */
+    private static final int COMPLETED_RECORD_BYTES = JournalReader.HEADER_BYTES + Entry.MIN_CONTENT_BYTES;
+    /** How long the id of an ended mail is remembered: clients that repeat a command do so within seconds. */
+    private static final long REMEMBER_MICROS = 600_000_000;
+    /** Ids that are forgotten in one write. */
+    private static final int MAX_EXPIRED_IDS_PER_WRITE = 256;
+
     private final Path file;
     private final Path nextFile;
     private final ListLog listLog;
@@ -53,6 +65,7 @@
     private final long outstandingLimit;
     /** By id, in the order in which they were accepted. */
     private final Map<String, HeldMail> outstanding;
+    private final RememberedIds remembered;
     private final boolean resumed;
     private final OptionalLong lastWrittenMillis;
     /** What the next write appends, in order. */
@@ -82,6 +95,9 @@
         size = replayed.validBytes();
         timeBase = replayed.timeBase();
         resumed = size > 0;
+        remembered = new RememberedIds(REMEMBER_MICROS, Math.min(MAX_REMEMBERED_BYTES, (long) (limit * REMEMBERED_SHARE)), COMPLETED_RECORD_BYTES);
+        replayed.ended().forEach(id -> remembered.add(id, monotonicMicros.getAsLong()));
+        remembered.expire(monotonicMicros.getAsLong(), Integer.MAX_VALUE);
         outstanding.values().forEach(held -> outstandingBytes += held.journalBytes);
         Files.deleteIfExists(nextFile);
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -115,6 +131,7 @@
 
     @Override public void startClock(TimeBase base, LongSupplier micros) {
         monotonicMicros = micros;
+        remembered.restartClock(micros.getAsLong());
         timeBaseUnrecorded = !base.equals(timeBase);
         timeBase = base;
     }
@@ -136,6 +153,10 @@
         return reservedSpace.reserved() && outstandingBytes + (1L + before) * (bodyBytes + (1 + attempts) * 128L) <= outstandingLimit;
     }
 
+    @Override public boolean hasEnded(String id) {
+        return remembered.contains(id);
+    }
+
     @Override public void accepted(HeldMail held) {
         addPendingFor(held, new Entry.Accepted(held.submission, held.deadline));
         held.accepted = true;
@@ -166,6 +187,9 @@
             held.accepted = false;
             addPending(new Entry.Completed(held.submission.id()));
             outstandingBytes -= held.journalBytes;
+            if (held.mayHaveRun()) {
+                remembered.add(held.submission.id(), monotonicMicros.getAsLong());
+            }
         }
     }
 
@@ -213,6 +237,7 @@
         if (reservedSpace.restore(monotonicMicros.getAsLong())) {
             LogEvent.log(LOG, Level.WARNING, "journal.room", "the disk has room again: mails are taken on");
         }
+        remembered.expire(monotonicMicros.getAsLong(), MAX_EXPIRED_IDS_PER_WRITE);
         if (pending.isEmpty() && !tailUnknown) {
             return;
         }
@@ -284,6 +309,7 @@
         if (timeBase != null) {
             bytes.writeBytes(encodeRecord(new Entry.Clock(timeBase)));
         }
+        remembered.forEach(id -> bytes.writeBytes(encodeRecord(new Entry.Completed(id))));
         outstanding.values().forEach(held -> entriesOf(held).forEach(entry -> bytes.writeBytes(encodeRecord(entry))));
         FileChannel compacted = FileChannel.open(nextFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                 StandardOpenOption.TRUNCATE_EXISTING);
--- a/node/src/main/java/wrenreach/held/JournalReader.java
+++ b/node/src/main/java/wrenreach/held/JournalReader.java
@@ -7,8 +7,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.zip.CRC32;
 import wrenreach.log.LogEvent;
 
@@ -24,9 +26,14 @@
     /** What {@link #findRecord} returns where there is none. */
     private static final int NONE = -1;
 
+    /** Ids of ended mails that are kept while the file is read, the latest ones. */
+    private static final int MAX_ENDED_IDS = 50_000;
+
     private final Path file;
     private final ByteBuffer bytes;
     private final Map<String, HeldMail> outstanding = new LinkedHashMap<>();
+    /** The ids of mails that have ended and may have run, the oldest first. */
+    private final Set<String> ended = new LinkedHashSet<>();
     /** The mails that were outstanding at the last record that can't be read and may have told of an attempt. */
     private List<HeldMail> outstandingAtDamage = List.of();
     private TimeBase timeBase;
@@ -50,6 +57,11 @@
         return outstanding;
     }
 
+    /** The ids of mails that have ended and may have run, the oldest first. */
+    Set<String> ended() {
+        return ended;
+    }
+
     /** Where the last whole record ends: new ones are appended there. */
     long validBytes() {
         return position;
@@ -200,17 +212,31 @@
             held = new HeldMail(accepted.submission(), accepted.deadline());
             held.accepted = true;
             outstanding.put(entry.id(), held);
+            ended.remove(entry.id());
+        } else if (entry instanceof Entry.Completed) {
+            outstanding.remove(entry.id());
+            addEnded(held, entry.id());
+            return;
         } else if (held == null) {
             return;
         } else if (entry instanceof Entry.AttemptStarted started) {
             held.attempts.add(started.attempt());
         } else if (entry instanceof Entry.NeverRan neverRan) {
             held.markNeverRan(neverRan.number());
-        } else if (entry instanceof Entry.Ended ended) {
-            held.ending = ended.ending();
-        } else {
-            outstanding.remove(entry.id());
+        } else if (entry instanceof Entry.Ended endedEntry) {
+            held.ending = endedEntry.ending();
         }
         held.journalBytes += recordBytes;
     }
+
+    /** held: null where only the id was kept in a compaction. */
+    private void addEnded(HeldMail held, String id) {
+        if (held == null || held.mayHaveRun()) {
+            ended.remove(id);
+            ended.add(id);
+            if (ended.size() > MAX_ENDED_IDS) {
+                ended.remove(ended.iterator().next());
+            }
+        }
+    }
 }
--- a/node/src/test/java/wrenreach/held/JournalTest.java
+++ b/node/src/test/java/wrenreach/held/JournalTest.java
@@ -274,6 +274,58 @@
         assertThat(outstandingIds()).containsExactly("a", "c".repeat(Entry.MAX_TEXT_BYTES));
     }
 
+    /** Guards against an id that is forgotten with its end: a command with it that came later ran a second time (review/2). */
+    @Test void idsOfEndedMailsAreRememberedOverRestartsAndCompactions() throws IOException {
+        HeldMail delivered = mail("delivered", 5);
+        HeldMail bounced = mail("bounced", 5);
+        HeldMail deferred = mail("deferred", 5);
+        try (Journal journal = Journal.open(folder, FOLDER_LIMIT_BYTES)) {
+            for (HeldMail mail : List.of(delivered, bounced, deferred)) {
+                journal.accepted(mail);
+            }
+            journal.ended(bounced, new Ending(false, 0));
+            journal.ended(deferred, new Ending(true, 500));
+            assertThat(journal.hasEnded("delivered")).isFalse();
+            List.of(delivered, bounced, deferred).forEach(journal::completed);
+            journal.write();
+        }
+        for (int start = 0; start < 3; start++) {
+            try (Journal journal = Journal.open(folder, FOLDER_LIMIT_BYTES)) {
+                journal.startClock(new TimeBase("a boot", 5), () -> 12);
+                assertThat(List.of("delivered", "bounced")).allMatch(journal::hasEnded);
+                assertThat(journal.hasEnded("deferred")).as("may be handed in again").isFalse();
+                for (int i = 0; i < 60; i++) {
+                    HeldMail mail = mail("m" + start + "-" + i, 1000);
+                    journal.accepted(mail);
+                    journal.write();
+                    journal.completed(mail);
+                }
+                journal.write();
+                assertThat(journal.size()).as("it has been compacted").isLessThan(60_000);
+            }
+        }
+    }
+
+    /** The ids of ended mails are bounded in time and space, whatever their length. */
+    @Test void rememberedIdsAreBounded() throws IOException {
+        long[] now = {0};
+        try (Journal journal = Journal.open(folder, FOLDER_LIMIT_BYTES)) {
+            journal.startClock(new TimeBase("a boot", 5), () -> now[0]);
+            for (int i = 0; i < 5000; i++) {
+                HeldMail mail = mail(i + "x".repeat(100), 10);
+                journal.accepted(mail);
+                journal.completed(mail);
+                journal.write();
+                assertThat(journal.size()).isLessThan(FOLDER_LIMIT_BYTES * 6 / 10);
+            }
+            assertThat(journal.hasEnded(4999 + "x".repeat(100))).isTrue();
+            assertThat(journal.hasEnded(0 + "x".repeat(100))).isFalse();
+            now[0] = 601_000_000;
+            journal.write();
+            assertThat(journal.hasEnded(4999 + "x".repeat(100))).as("after its time").isFalse();
+        }
+    }
+
     @Test void compactionKeepsOutstandingMailsInOrder() throws IOException {
         try (Journal journal = Journal.open(folder, FOLDER_LIMIT_BYTES)) {
             HeldMail kept = mail("kept", 10);
--- a/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
+++ b/node/src/test/java/wrenreach/node/DeliveryNodeTest.java
@@ -530,6 +530,21 @@
         assertThat(nextReceived()).startsWith("/v2/finals {\"id\":\"a1\"");
     }
 
+    /** Guards against a second run of a delivered mail whose id comes again, at the same process or the next (review/2). */
+    @ParameterizedTest
+    @ValueSource(strings = {"side_effect", "token"})
+    void idOfADeliveredMailRunsOnce(String itsEffect) throws Exception {
+        effect = itsEffect;
+        for (int start = 0; start < 2; start++) {
+            InetSocketAddress address = startNode();
+            for (int i = 0; i < 3; i++) {
+                assertThat(exchange(address, enqueue("a1", "c=order,t=shop,d=9000,k=tag,dest=1"), 1)).startsWith("+OK");
+                assertThat(received.poll(start == 0 && i == 0 ? 20_000 : 300, TimeUnit.MILLISECONDS)).isEqualTo(start == 0 && i == 0 ? "/events a1 body" : null);
+            }
+            assertStopsWithNothingOutstanding();
+        }
+    }
+
     /** A once-only mail whose call was in flight when the process ended may have run, and must not take effect twice. */
     @Test void onceOnlyMailThatMayHaveRunEndsUndeliverable() throws Exception {
         effect = "side_effect";
