Lists from files that replace discovery need no confirmation by discovery

What callers would see: a node with [lists] scope "all" whose discovery has no list sends nothing for one longest lifetime after its start.

Change: ListFilter.replacesDiscovery tells so. A list of files that is mixed with discovery's (scope "named") confirms nothing about discovery's part.

--- a/lists/src/main/java/wrenreach/lists/EndpointMerger.java
+++ b/lists/src/main/java/wrenreach/lists/EndpointMerger.java
@@ -41,6 +41,11 @@
         setInForce(inForce);
     }
 
+    /** Whether a list is in force that takes precedence for all destinations. */
+    boolean replacesDiscovery() {
+        return filesOnly && inForce != null;
+    }
+
     void setDrainTime(long micros) {
         drainTime = micros;
     }
--- a/lists/src/main/java/wrenreach/lists/WatchedLists.java
+++ b/lists/src/main/java/wrenreach/lists/WatchedLists.java
@@ -117,6 +117,10 @@
         return changes;
     }
 
+    @Override public boolean replacesDiscovery() {
+        return merger.replacesDiscovery();
+    }
+
     private void applyOnLoop(Generation list, List<String> differing) {
         long now = host.now();
         ListUpdate changes = merger.listAccepted(list, differing, now);
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -262,6 +262,7 @@
         enterPhase(Phase.RECOVERING);
         iterationTime();
         endpointsInUse = new EndpointsInUse(config, endpointLists.initialTable(), directory, dispatcher, calls, actions::addAll);
+        actions.addAll(dispatcher.endpointsUpdated(new EndpointUpdate(EndpointUpdate.Scope.UNCONFIRMED, List.of(), ledgerAgeMicros), now));
         endpointLists.start(endpointsInUse, discovery, now);
         if (journal.resumed()) {
             heldMails.blockRecoveredKeys(now);
@@ -296,7 +297,6 @@
             LogEvent.log(LOG, Level.INFO, "recovery", "recovered {mails} mails, {unconfirmed} of them ended but not confirmed",
                     "mails", outstanding.size(), "unconfirmed", unacknowledged);
         }
-        actions.addAll(dispatcher.endpointsUpdated(new EndpointUpdate(EndpointUpdate.Scope.UNCONFIRMED, List.of(), ledgerAgeMicros), now));
         if (!settings.listOnRequest()) {
             discovery.follow();
         }
--- a/node/src/main/java/wrenreach/node/EndpointLists.java
+++ b/node/src/main/java/wrenreach/node/EndpointLists.java
@@ -112,7 +112,7 @@
         if (inForce == latest) {
             endpointsInUse.activateAll(now);
         } else {
-            applyToInForce(subsystems.filter(latest.snapshot(), now), now);
+            apply(subsystems.filter(latest.snapshot(), now));
         }
     }
 
@@ -162,8 +162,8 @@
             listLog.stageEntry(latest.entry(latest.changedRows(i)));
         }
         listLog.commit(latest.index(), Addresses.format(discovery.address()), latest);
+        confirm();
         if (latest == inForce) {
-            confirm();
             endpointsInUse.applyDelta(node.iterationTime());
         } else {
             apply(subsystems.filter(whole ? latest.snapshot() : latest.delta(), node.iterationTime()));
@@ -174,11 +174,9 @@
     /** Applies an update that a subsystem has made or let through to the list in force. */
     void apply(ListUpdate update) {
         long now = node.iterationTime();
-        confirm();
-        applyToInForce(update, now);
-    }
-
-    private void applyToInForce(ListUpdate update, long now) {
+        if (subsystems.replaceDiscovery()) {
+            confirm();
+        }
         try {
             inForce.apply(update);
             endpointsInUse.applyDelta(now);
--- a/node/src/main/java/wrenreach/node/Subsystems.java
+++ b/node/src/main/java/wrenreach/node/Subsystems.java
@@ -72,6 +72,11 @@
         return listFilter != null;
     }
 
+    /** Whether a subsystem has a list in force that holds nothing from discovery. */
+    boolean replaceDiscovery() {
+        return listFilter != null && listFilter.replacesDiscovery();
+    }
+
     /** Returns what is to be used of a list update from discovery. */
     ListUpdate filter(ListUpdate update, long now) {
         if (listFilter == null) {
