Unfinished requests of all clients stay within the memory for reads

Cause: a piece occupies the buffer that it was read to, and the sum over all clients had no bound: the direct memory is used up, and the event loop sleeps in the JDK's reserveMemory at each read.

Evidence: three thread dumps, each with the loop asleep there; its thread used 3 ms in 2 s.

Change: beyond three quarters of the clients' memory, as the allocator counts it, reads are short and the oldest unfinished requests are answered -BUSY, closed and freed.

--- a/node/src/main/java/wrenreach/net/ClientReadAllocator.java
+++ b/node/src/main/java/wrenreach/net/ClientReadAllocator.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.RecvByteBufAllocator;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 
 /**
  * Sizes the reads from clients' sockets and bounds them over all clients: each time that the loop looks at its sockets, every client is
@@ -33,14 +34,28 @@
     static final int SMALL_READ_BYTES = 512;
 
     private final Executor loop;
+    private final BooleanSupplier memoryShort;
+    private final Runnable onMemoryShort;
     private int bytesInPass;
     private int requestsInPass;
     private boolean passEndScheduled;
 
     /** loop: runs tasks once it has looked at all of its sockets. */
     ClientReadAllocator(Executor loop) {
+        this(loop, () -> false, () -> { });
+    }
+
+    /**
+     * Reads in small pieces while memory is short.
+     *
+     * @param memoryShort whether the bytes read from clients take more memory than they should
+     * @param onMemoryShort run where that is so once the loop has looked at all of its sockets
+     */
+    ClientReadAllocator(Executor loop, BooleanSupplier memoryShort, Runnable onMemoryShort) {
         super(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
         this.loop = loop;
+        this.memoryShort = memoryShort;
+        this.onMemoryShort = onMemoryShort;
         respectMaybeMoreData(false);
         maxMessagesPerRead(MAX_READS_PER_CLIENT);
     }
@@ -68,6 +83,9 @@
         bytesInPass = 0;
         requestsInPass = 0;
         passEndScheduled = false;
+        if (memoryShort.getAsBoolean()) {
+            onMemoryShort.run();
+        }
     }
 
     /** Sizes the reads from one client. */
@@ -93,7 +111,7 @@
         }
 
         @Override public int guess() {
-            return exceedsRequestBudget() ? SMALL_READ_BYTES : super.guess();
+            return exceedsRequestBudget() || memoryShort.getAsBoolean() ? SMALL_READ_BYTES : super.guess();
         }
 
         @Override public ByteBuf allocate(ByteBufAllocator allocator) {
--- a/node/src/main/java/wrenreach/net/PartialRequestLimiter.java
+++ b/node/src/main/java/wrenreach/net/PartialRequestLimiter.java
@@ -21,6 +21,11 @@
         return partialBytes > 0;
     }
 
+    /** How many bytes of it have come. */
+    int partialBytes() {
+        return partialBytes;
+    }
+
     /** When the first byte of that request came, in nanoseconds of the loop's ticker. */
     long firstByteAt() {
         return firstByteAt;
--- a/node/src/main/java/wrenreach/net/SubmissionServer.java
+++ b/node/src/main/java/wrenreach/net/SubmissionServer.java
@@ -25,12 +25,14 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * The listener for clients, which submit mails in RESP (the Redis protocol). Replies wait for the end of the iteration that sets them and
@@ -45,6 +47,8 @@
     private static final int MAX_ACCEPTS_PER_ITERATION = 32;
     /** Memory that one client's unfinished request may take. */
     public static final int MAX_CLIENT_BYTES = MAX_BODY_BYTES + ClientReadAllocator.MAX_READ_BYTES;
+    /** The part of the memory for unfinished requests beyond which the oldest are refused; the rest is for what one look at the sockets reads. */
+    private static final double PARTIAL_REQUESTS_SHARE = 0.75;
     /** Pieces that a word of a request may be held in before they are put together: each occupies the buffer that it was read to. */
     private static final int MAX_WORD_PIECES = 16;
     /** Time for a whole request, from its first byte; for the first request of a connection, from the accept. */
@@ -100,6 +104,8 @@
     private final Host host;
     private final int maxClients;
     private final int maxLingering;
+    /** Bytes that buffers for clients may take before the oldest unfinished requests are refused. */
+    private final long maxBufferBytes;
     /** Clients that have sent no request so far, in the order in which they connected. */
     private final Set<ClientConnection> clientsWithoutRequest = new LinkedHashSet<>();
     /** The other clients, the least recently used first. */
@@ -113,6 +119,13 @@
 
     /** maxConnections: client connections kept open at a time, those that linger included. */
     public SubmissionServer(EventLoopGroup group, ChannelFactory<? extends ServerChannel> serverChannelFactory, Host host, int maxConnections) {
+        this(group, serverChannelFactory, host, maxConnections, (long) maxConnections * MAX_CLIENT_BYTES);
+    }
+
+    /** The same; memoryBytes: for the unfinished requests of all clients. */
+    public SubmissionServer(EventLoopGroup group, ChannelFactory<? extends ServerChannel> serverChannelFactory, Host host, int maxConnections,
+            long memoryBytes) {
+        maxBufferBytes = (long) (memoryBytes * PARTIAL_REQUESTS_SHARE);
         this.group = group;
         this.serverChannelFactory = serverChannelFactory;
         this.host = host;
@@ -164,7 +177,7 @@
                 .handler(new AcceptFaults())
                 .childOption(ChannelOption.ALLOCATOR, Buffers.CLIENT_ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new ClientReadAllocator(group.next()))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new ClientReadAllocator(group.next(), () -> excessBytes() > 0, this::refuseOldestPartialRequests))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         if (channel.config() instanceof DuplexChannelConfig socket) {
@@ -228,6 +241,29 @@
         }
     }
 
+    private long excessBytes() {
+        return Buffers.CLIENT_ALLOCATOR.metric().usedDirectMemory() - maxBufferBytes;
+    }
+
+    /**
+     * Frees memory: without it the next read would wait for memory and hold up all clients. Clients that are slow to send, or stop half way,
+     * have the oldest unfinished requests.
+     */
+    private void refuseOldestPartialRequests() {
+        List<ClientConnection> oldest = new ArrayList<>();
+        Stream.concat(clientsWithoutRequest.stream(), clientsWithRequest.stream())
+                .filter(client -> client.partialRequestLimiter.hasPartialRequest() && client.openRequests.isEmpty()).forEach(oldest::add);
+        oldest.sort(Comparator.comparingLong(client -> client.partialRequestLimiter.firstByteAt()));
+        long excess = excessBytes();
+        for (ClientConnection client : oldest) {
+            if (excess <= 0) {
+                return;
+            }
+            excess -= client.partialRequestLimiter.partialBytes();
+            client.refusePartialRequest();
+        }
+    }
+
     /** Sends the replies that are set. */
     public void flush() {
         List<ClientConnection> answered = new ArrayList<>(clientsAwaitingReplies);
@@ -348,6 +384,16 @@
             }
         }
 
+        /** Answers a request that has come in part by a refusal, closes the connection, and frees what has been read. */
+        private void refusePartialRequest() {
+            ctx.writeAndFlush(new Reply.Busy(0));
+            partialRequestLimiter.requestCompleted();
+            closeIfIdle(true, ClosedConnections.Reason.TOO_MANY_CONNECTIONS);
+            if (ctx.pipeline().get(RedisBulkStringAggregator.class) != null) {
+                ctx.pipeline().remove(RedisBulkStringAggregator.class);
+            }
+        }
+
         /**
          * Closes the connection unless a request comes with the next select, which the scheduled task runs after. Otherwise
          * requests that wait unread because the node is short of CPU would be answered by a close, and so be lost.
--- a/node/src/main/java/wrenreach/node/DeliveryNode.java
+++ b/node/src/main/java/wrenreach/node/DeliveryNode.java
@@ -162,9 +162,10 @@
         int maxIdle = Math.min(IDLE_CONNECTIONS_PER_SLOT * settings.inFlightLimit(), config.descriptors() / 4);
         int usedDescriptors = RESERVED_DESCRIPTORS + settings.inFlightLimit() + maxIdle;
         // Limits the number of clients, so that large bodies submitted by all of them at once fit into their part of the memory.
-        long affordableClients = config.memoryBytes() / CLIENT_MEMORY_DIVISOR / SubmissionServer.MAX_CLIENT_BYTES;
+        long clientMemory = config.memoryBytes() / CLIENT_MEMORY_DIVISOR;
+        long affordableClients = clientMemory / SubmissionServer.MAX_CLIENT_BYTES;
         submissionServer = new SubmissionServer(loopGroup, sockets.serverChannelFactory(), this,
-                (int) Math.min(affordableClients, config.descriptors() - usedDescriptors));
+                (int) Math.min(affordableClients, config.descriptors() - usedDescriptors), clientMemory);
         calls = new Calls(loop, sockets.clientChannelFactory(), this, config.reportNames(), settings.connectionIdleTimeout(),
                 settings.tcpConnectTimeout(), maxIdle, new ConnectionReusePolicy(maxLifetime));
         notices = new Notices(loop, sockets.clientChannelFactory(), config.discovery(), this::noticeAcknowledged,
