A submission has 64 fields at most

Cause: RequestDecoder took 31,000 fields apart before it refused a command.

Change: what has more than 64 fields is refused without that.

Result: four of five forms of CodecTest.manyFieldsAreRejected failed on the code before; they pass.

--- a/node/src/main/java/wrenreach/net/RequestDecoder.java
+++ b/node/src/main/java/wrenreach/net/RequestDecoder.java
@@ -15,6 +15,9 @@
 
 /** Decodes a RESP message of a client to a request. */
 final class RequestDecoder extends MessageToMessageDecoder<RedisMessage> {
+    /** The most fields of a submission: far more than the protocol has. */
+    private static final int MAX_FIELDS = 64;
+
     @Override protected void decode(ChannelHandlerContext ctx, RedisMessage message, List<Object> out) {
         if (message instanceof InlineCommandRedisMessage inline) {
             out.add(inline.content().strip().equalsIgnoreCase("PING") ? new Request.Ping()
@@ -60,7 +63,11 @@
     private static Request parseSubmission(String key, String id, String fields, byte[] body) {
         String queueClass = "", tenant = "", tag = "";
         long lifetime = -1, destination = -1;
-        for (String field : fields.split(",")) {
+        String[] parts = fields.split(",", MAX_FIELDS + 1);
+        if (parts.length > MAX_FIELDS) {
+            return new Request.Malformed("malformed fields", false);
+        }
+        for (String field : parts) {
             int equals = field.indexOf('=');
             String value = field.substring(equals + 1);
             switch (equals < 0 ? "" : field.substring(0, equals)) {
--- a/node/src/test/java/wrenreach/net/CodecTest.java
+++ b/node/src/test/java/wrenreach/net/CodecTest.java
@@ -102,6 +102,17 @@
         }
     }
 
+    /** Guards against very many short fields, each of which costs time and memory: clients that sent them at full speed kept others waiting. */
+    @ParameterizedTest
+    @CsvSource({"',a=1', 60, true", "',a=1', 61, false", "',a=1', 15000, false", "',', 31000, false", "',=', 31000, false"})
+    void manyFieldsAreRejected(String field, int count, boolean accepted) {
+        EmbeddedChannel client = new EmbeddedChannel(SubmissionServer.codecs(SubmissionServer.MAX_BODY_BYTES));
+        client.writeInbound(bytes(enqueue("0", "a", "c=n,d=1,t=s,dest=1" + field.repeat(count), "x")));
+        Object request = client.readInbound();
+        assertThat(request instanceof Request.Submit).isEqualTo(accepted);
+        assertThat(accepted || request.equals(new Request.Malformed("malformed fields", false))).isTrue();
+    }
+
     /** An id is sent in a header of the call, where a line end in it would begin a header of its own. */
     @Test void idWithALineEndIsRejected() {
         channel.writeInbound(bytes(enqueue("0", "a\r\nX: 1", "c=n,d=1,dest=1", "x")));
