While discovery is down, mails that surely have not run get a last call

What callers would see: a message that a receiver turned away before the restart ends with no call where discovery stays down for its whole time.

Cause: the last call by the old list went only to mails with no attempt at all; one that was turned away has an attempt that never ran.

Change: what counts is that no attempt may have run.

--- a/decisions/src/main/java/wrenreach/DeliveryDispatcher.java
+++ b/decisions/src/main/java/wrenreach/DeliveryDispatcher.java
@@ -458,7 +458,7 @@
         return isRecoveredUnattempted(mail) && !route.inSlowStart && route.retryAfterUntil <= now && now >= lastChanceAt(mail);
     }
 
-    /** When a mail without an attempt has to be sent at the latest. */
+    /** When a mail that has not run has to be sent at the latest. */
     private long lastChanceAt(Mail mail) {
         return mail.deadline - LAST_CHANCE_LATENCIES * typicalLatencyOf(mail.destination) - 4 * tick - wakeUpLateness;
     }
@@ -478,7 +478,7 @@
 
     /** Whether the mail may be sent now as far as its own delay, its order key and the age of the endpoint list are concerned. */
     private boolean isEligible(Mail mail, long now) {
-        if (!endpointListPolicy.mayBeUsed(mail.attempts.isEmpty() && now >= lastChanceAt(mail), now)) {
+        if (!endpointListPolicy.mayBeUsed(!RetryPolicy.mayHaveRun(mail) && now >= lastChanceAt(mail), now)) {
             return false;
         }
         if (mail.notBefore > now) {
--- a/decisions/src/main/java/wrenreach/EndpointListPolicy.java
+++ b/decisions/src/main/java/wrenreach/EndpointListPolicy.java
@@ -79,7 +79,7 @@
     /**
      * Whether a mail may be sent by the list.
      *
-     * @param lastChance whether the mail would end without an attempt otherwise
+     * @param lastChance whether the mail would end without an attempt that may have run otherwise
      */
     boolean mayBeUsed(boolean lastChance, long now) {
         return now >= outdatedUntil || recent && lastChance;
